--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Targets: build, test, lint, demo, bench, soak, generate. Each installs what it
+# needs through the Go module proxy; no other download is made.
+
+GO ?= go
+BIN := bin
+# Packages whose tests run under the race detector.
+RACE ?= -race
+
+.PHONY: build test lint demo bench soak generate clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: build
+	$(GO) test $(RACE) -count=1 -timeout 20m $(GOTESTFLAGS) ./...
+
+lint:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Needs protoc (Debian package protobuf-compiler). The generated code is committed.
+generate:
+	mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	$(GO) build -o $(BIN)/protoc-gen-go-drpc storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+		--go-drpc_out=. --go-drpc_opt=paths=source_relative rpc/*.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/errkind/errkind.go
@@ -0,0 +1,140 @@
+// Package errkind holds the closed list of error kinds and the table that maps
+// each kind to its answer: the HTTP status, whether the work ran, and whether
+// the caller may retry.
+package errkind
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+)
+
+// Kind classifies an error. The set is closed: every Kind has a row in Table.
+type Kind string
+
+// The error kinds.
+const (
+	BadInput        Kind = "bad_input"
+	NotFound        Kind = "not_found"
+	Conflict        Kind = "conflict"
+	QuotaExceeded   Kind = "quota_exceeded"
+	RateLimited     Kind = "rate_limited"
+	Overloaded      Kind = "overloaded"
+	DeadlineUnmet   Kind = "deadline_unmeetable"
+	NotReady        Kind = "not_ready"
+	NotOwner        Kind = "not_owner"
+	StaleEpoch      Kind = "stale_epoch"
+	LogUnavailable  Kind = "log_unavailable"
+	AppendUnknown   Kind = "append_unknown"
+	Impossible      Kind = "impossible"
+	NoCapacity      Kind = "no_capacity"
+	Draining        Kind = "draining"
+	UpstreamFailed  Kind = "upstream_failed"
+	OutcomeUnknown  Kind = "outcome_unknown"
+	AnswerTooLarge  Kind = "answer_too_large"
+	Cancelled       Kind = "cancelled"
+	Unreachable     Kind = "unreachable"
+	InternalFailure Kind = "internal"
+)
+
+// Outcome says what is known about whether the requested work ran.
+type Outcome string
+
+// The outcomes. NotRun is used only where it is certain.
+const (
+	NotRun  Outcome = "not_run"
+	Ran     Outcome = "ran"
+	Unknown Outcome = "unknown"
+)
+
+// Retry says how a caller may retry after an error.
+type Retry string
+
+// The retry rules.
+const (
+	RetryNever   Retry = "never"           // the same input fails again
+	RetryBackoff Retry = "with_backoff"    // safe: nothing ran
+	RetrySameID  Retry = "same_request_id" // safe only with the same request id
+)
+
+// Answer is the row of a Kind.
+type Answer struct {
+	Status  int // HTTP status code
+	Outcome Outcome
+	Retry   Retry
+}
+
+// Table maps every Kind to its Answer.
+var Table = map[Kind]Answer{
+	BadInput:        {400, NotRun, RetryNever},
+	NotFound:        {404, NotRun, RetryNever},
+	Conflict:        {409, NotRun, RetryNever},
+	QuotaExceeded:   {429, NotRun, RetryBackoff},
+	RateLimited:     {429, NotRun, RetryBackoff},
+	Overloaded:      {503, NotRun, RetryBackoff},
+	DeadlineUnmet:   {504, NotRun, RetryBackoff},
+	NotReady:        {503, NotRun, RetryBackoff},
+	NotOwner:        {503, NotRun, RetryBackoff},
+	StaleEpoch:      {503, NotRun, RetryBackoff},
+	LogUnavailable:  {503, NotRun, RetryBackoff},
+	AppendUnknown:   {504, Unknown, RetrySameID},
+	Impossible:      {422, NotRun, RetryNever},
+	NoCapacity:      {503, NotRun, RetryBackoff},
+	Draining:        {503, NotRun, RetryBackoff},
+	UpstreamFailed:  {502, Ran, RetryNever},
+	OutcomeUnknown:  {504, Unknown, RetrySameID},
+	AnswerTooLarge:  {502, Ran, RetryNever},
+	Cancelled:       {499, Unknown, RetrySameID},
+	Unreachable:     {503, NotRun, RetryBackoff},
+	InternalFailure: {500, Unknown, RetrySameID},
+}
+
+// Error is an error with a kind and a short, stable reason used as a metric label.
+type Error struct {
+	Kind   Kind
+	Reason string // lower_snake_case, from a fixed set in the code that creates it
+	Detail string
+	Err    error // may be nil
+}
+
+// New returns an Error of the kind with the reason and a formatted detail.
+func New(k Kind, reason, format string, args ...any) *Error {
+	return &Error{Kind: k, Reason: reason, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error of the kind around err, or nil if err is nil.
+func Wrap(k Kind, reason string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Kind: k, Reason: reason, Detail: err.Error(), Err: err}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Kind, e.Reason, e.Detail)
+}
+
+// Unwrap returns the wrapped error.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Of returns the kind of err: that of the first Error in its chain, else InternalFailure.
+func Of(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return InternalFailure
+}
+
+// ReasonOf returns the reason of the first Error in the chain of err, else "unclassified".
+func ReasonOf(err error) string {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return "unclassified"
+}
+
+// AnswerOf returns the Answer row for err.
+func AnswerOf(err error) Answer { return Table[Of(err)] }
--- /dev/null
+++ b/workload/workload.go
@@ -0,0 +1,118 @@
+// Package workload defines the shared types of jobs and tasks.
+package workload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/machine"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// Kind selects the placement policy of a job.
+type Kind string
+
+// The kinds of job.
+const (
+	Service Kind = "service" // long-running, spread over racks and zones
+	Batch   Kind = "batch"   // finite tasks, packed, may have a deadline
+	Gang    Kind = "gang"    // all tasks start together or none does
+)
+
+// Priority orders jobs. Higher values go first.
+type Priority int
+
+// The priorities.
+const (
+	Low    Priority = 0
+	Normal Priority = 50
+	High   Priority = 80
+	Urgent Priority = 100 // may preempt, starts within 3.5 s
+)
+
+// Limits on one job, to bound the cost of bad input.
+const (
+	MaxTasksPerJob = 10_000
+	MaxNameBytes   = 128
+)
+
+// Job is what a caller asks to be placed.
+type Job struct {
+	ID        string            `json:"id"`   // ULID or derived id, unique
+	Team      string            `json:"team"` // owner of the quota
+	Family    string            `json:"family,omitempty"`
+	Kind      Kind              `json:"kind"`
+	Count     int               `json:"count"` // number of tasks
+	Resources machine.Resources `json:"resources"`
+	Priority  Priority          `json:"priority"`
+	RunTime   time.Duration     `json:"run_time,omitempty"` // declared; 0 is unknown
+	Deadline  time.Time         `json:"deadline,omitzero"`
+	Grace     time.Duration     `json:"grace,omitempty"` // window after Deadline
+	Zones     []zone.Name       `json:"zones,omitempty"` // empty allows every zone of the region
+	Retries   int               `json:"retries"`         // attempts after a failed one
+	Preempt   bool              `json:"preemptible"`
+}
+
+// Validate reports the first fault of j as a BadInput error.
+func (j *Job) Validate() error {
+	bad := func(format string, args ...any) error {
+		return errkind.New(errkind.BadInput, "job_invalid", format, args...)
+	}
+	switch {
+	case j.ID == "" || len(j.ID) > MaxNameBytes:
+		return bad("id must have 1 to %d bytes, got %d", MaxNameBytes, len(j.ID))
+	case j.Team == "" || len(j.Team) > MaxNameBytes:
+		return bad("team must have 1 to %d bytes, got %d", MaxNameBytes, len(j.Team))
+	case len(j.Family) > MaxNameBytes:
+		return bad("family must have at most %d bytes, got %d", MaxNameBytes, len(j.Family))
+	case j.Kind != Service && j.Kind != Batch && j.Kind != Gang:
+		return bad("kind must be service, batch or gang, got %q", j.Kind)
+	case j.Count < 1 || j.Count > MaxTasksPerJob:
+		return bad("count must be 1 to %d, got %d", MaxTasksPerJob, j.Count)
+	case j.Resources.Negative() || j.Resources.IsZero():
+		return bad("resources must be positive, got %s", j.Resources)
+	case j.Priority < Low || j.Priority > Urgent:
+		return bad("priority must be %d to %d, got %d", Low, Urgent, j.Priority)
+	case j.RunTime < 0 || j.Grace < 0:
+		return bad("run_time and grace must not be negative")
+	case j.Retries < 0 || j.Retries > 100:
+		return bad("retries must be 0 to 100, got %d", j.Retries)
+	}
+	return nil
+}
+
+// TaskID returns the id of task index of job id.
+func TaskID(id string, index int) string { return fmt.Sprintf("%s.%d", id, index) }
+
+// Task is one running unit of a job.
+type Task struct {
+	ID         string            `json:"task"`
+	Attempt    int               `json:"attempt"`
+	Job        string            `json:"job"`
+	Team       string            `json:"team"`
+	Kind       Kind              `json:"kind"`
+	Priority   Priority          `json:"priority"`
+	Preempt    bool              `json:"preemptible"`
+	Shard      string            `json:"shard"`       // key of the planner's job shard
+	ShardEpoch uint64            `json:"shard_epoch"` // fencing token of the planner
+	Resources  machine.Resources `json:"resources"`
+	RunTime    time.Duration     `json:"run_time,omitempty"`
+}
+
+// TaskState is the state of a task on its worker.
+type TaskState string
+
+// The states of a task.
+const (
+	Running      TaskState = "running"
+	Finished     TaskState = "finished"
+	Failed       TaskState = "failed"
+	Checkpointed TaskState = "checkpointed"
+	Throttled    TaskState = "throttled"
+	Stopped      TaskState = "stopped"
+	Lost         TaskState = "lost" // lease lapsed without a confirmed end
+)
+
+// Holds reports whether a task in state s still holds resources of its worker.
+func (s TaskState) Holds() bool { return s == Running || s == Throttled }
