--- a/contract/key.go
+++ b/contract/key.go
@@ -21,10 +21,10 @@
 
 // The key kinds.
 const (
-	Rack  KeyKind = "rack"
-	Exec  KeyKind = "exec"
-	Jobs  KeyKind = "jobs"
-	IDs   KeyKind = "ids"
+	Rack KeyKind = "rack"
+	Exec KeyKind = "exec"
+	Jobs KeyKind = "jobs"
+	IDs  KeyKind = "ids"
 )
 
 // RackKey returns the key of a rack of workers.
