--- /dev/null
+++ b/errkind/errkind_test.go
@@ -0,0 +1,56 @@
+package errkind
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+// Guards against a page for callers that disagrees with the table in force.
+func TestPageMatchesTable(t *testing.T) {
+	page, err := os.ReadFile("../docs/errors.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := 0
+	for _, line := range strings.Split(string(page), "\n") {
+		if strings.HasPrefix(line, "| `") {
+			rows++
+		}
+	}
+	if rows != len(Table) {
+		t.Errorf("page has %d rows, table has %d", rows, len(Table))
+	}
+	for k, a := range Table {
+		want := fmt.Sprintf("| `%s` | %d | `%s` | `%s` |", k, a.Status, a.Outcome, a.Retry)
+		if !strings.Contains(string(page), want) {
+			t.Errorf("page lacks the row %s", want)
+		}
+	}
+}
+
+// Guards against "not run, safe to retry" being said for a kind whose outcome is open.
+func TestRetryFollowsOutcome(t *testing.T) {
+	for k, a := range Table {
+		if a.Retry == RetryBackoff && a.Outcome != NotRun {
+			t.Errorf("%s: retry with backoff needs outcome not_run, has %s", k, a.Outcome)
+		}
+		if a.Outcome == Unknown && a.Retry != RetrySameID {
+			t.Errorf("%s: an unknown outcome may be retried only with the same request id", k)
+		}
+	}
+}
+
+// Guards against a kind that is lost when an error is wrapped on its way to the caller.
+func TestOfFindsWrappedKind(t *testing.T) {
+	err := errors.Wrap(New(RateLimited, "customer_rate", "10 per second"), "entry")
+	if Of(err) != RateLimited || ReasonOf(err) != "customer_rate" {
+		t.Errorf("got %s/%s", Of(err), ReasonOf(err))
+	}
+	if Of(errors.New("plain")) != InternalFailure {
+		t.Error("an unclassified error must be internal")
+	}
+}
