--- /dev/null
+++ b/placement/config.go
@@ -0,0 +1,99 @@
+package placement
+
+import "time"
+
+// Config holds the settings of an Engine. Zero fields take the defaults below.
+type Config struct {
+	// Seed makes jitter and sampling repeatable. Default 1.
+	Seed uint64
+	// Candidates is how many feasible workers are scored for one task. Default 16:
+	// beyond it the packing of the seeded mixes does not change.
+	Candidates int
+	// ExactCell is the number of workers up to which every feasible worker is
+	// scored; above it, Candidates applies. Default 64.
+	ExactCell int
+	// BackoffBase and BackoffMax bound the wait before a failed task is tried
+	// again; it doubles per failure and is jittered by half. Defaults 500 ms, 1 min.
+	BackoffBase, BackoffMax time.Duration
+	// RejectBase bounds the wait after a rack owner has refused a plan; it
+	// doubles per consecutive refusal up to 2 s. Default 20 ms, so that an urgent
+	// task can be tried several times within its 3.5 s.
+	RejectBase time.Duration
+	// ImpossibleGrace is how long an accepted job that no known worker can hold
+	// waits for such a worker before it ends. Default 60 s, longer than the
+	// restart of a worker.
+	ImpossibleGrace time.Duration
+	// ReserveAfter is the wait after which a job that does not fit gets a
+	// reservation of workers. Default 2 s.
+	ReserveAfter time.Duration
+	// Reservations bounds the jobs that hold a reservation at once. Default 4.
+	Reservations int
+	// ReclaimAfter is the wait after which a team below its quota takes borrowed
+	// resources back. Default 5 s.
+	ReclaimAfter time.Duration
+	// NoLearning keeps declared sizes and run times. Learning is on by default
+	// because it raises packing (BenchmarkLearning).
+	NoLearning bool
+	// MinSamples is the number of reports before a family's estimate is used. Default 20.
+	MinSamples int
+	// SizePercentile and SizeMargin give the learned size: the percentile of the
+	// reported peaks, enlarged by the margin. Defaults 0.98 and 0.15.
+	SizePercentile, SizeMargin float64
+	// RunPercentile and RunMargin give the learned run time. Defaults 0.90 and 0.10.
+	RunPercentile, RunMargin float64
+	// ThrottleFreesPermille is the share of a throttled task's processors that is
+	// free for others; its memory and accelerators stay in use. Default 500. A
+	// negative value disables throttling as a preemption.
+	ThrottleFreesPermille int64
+	// QuarantineFailures is the number of failures in a row, of at least two jobs,
+	// that quarantine a worker. Default 4.
+	QuarantineFailures int
+	// QuarantineBase and QuarantineMax bound the time before a quarantined worker
+	// is probed with one task; it doubles per failed probe. Defaults 30 s, 10 min.
+	QuarantineBase, QuarantineMax time.Duration
+	// HopelessFailures is the number of failures on at least three workers, with
+	// no success, after which a job ends although single tasks have retries left.
+	// Default 20.
+	HopelessFailures int
+	// KeepEnded is how many ended jobs Explain remembers. Default 10,000.
+	KeepEnded int
+}
+
+// quarantineShare is the divisor of the cell that bounds quarantine: at most one
+// worker in four, so that a fault of the jobs cannot empty the cell.
+const quarantineShare = 4
+
+func (c Config) withDefaults() Config {
+	def(&c.Seed, 1)
+	def(&c.Candidates, 16)
+	def(&c.ExactCell, 64)
+	def(&c.BackoffBase, 500*time.Millisecond)
+	def(&c.BackoffMax, time.Minute)
+	def(&c.RejectBase, 20*time.Millisecond)
+	def(&c.ImpossibleGrace, time.Minute)
+	def(&c.ReserveAfter, 2*time.Second)
+	def(&c.Reservations, 4)
+	def(&c.ReclaimAfter, 5*time.Second)
+	def(&c.MinSamples, 20)
+	def(&c.SizePercentile, 0.98)
+	def(&c.SizeMargin, 0.15)
+	def(&c.RunPercentile, 0.90)
+	def(&c.RunMargin, 0.10)
+	def(&c.ThrottleFreesPermille, 500)
+	def(&c.QuarantineFailures, 4)
+	def(&c.QuarantineBase, 30*time.Second)
+	def(&c.QuarantineMax, 10*time.Minute)
+	def(&c.HopelessFailures, 20)
+	def(&c.KeepEnded, 10_000)
+	if c.ThrottleFreesPermille < 0 {
+		c.ThrottleFreesPermille = 0
+	}
+	return c
+}
+
+func def[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
