--- /dev/null
+++ b/contract/cell_test.go
@@ -0,0 +1,220 @@
+package contract_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/internal/standin"
+	"github.com/sassafraslb/sassafraslb/link"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// patience is a generous limit for events that are awaited.
+const patience = 60 * time.Second
+
+// cell is a set of daemons in this process with stand-ins over HTTP.
+type cell struct {
+	t         testing.TB
+	log       *standin.Log
+	hosts     *standin.Hosts
+	logURL    string
+	hostsURL  string
+	topology  *zone.Topology
+	daemons   map[string]*daemon
+	configure func(*contract.Config)
+}
+
+type daemon struct {
+	id       string
+	members  *link.Members
+	claimer  *contract.Claimer
+	grants   *contract.Grants
+	counters *link.Counters
+	server   *link.Server
+	relayLog *link.Log
+	logCut   atomic.Bool // this daemon cannot reach the log
+	isolated atomic.Bool // its peer connections are silent and cannot be opened
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+func newCell(t testing.TB, cfg standin.LogConfig) *cell {
+	topology, err := zone.NewTopology(map[zone.Region][]zone.Name{"lombardy": {"lom-bergamo", "lom-monza"}, "veneto": {"ven-treviso"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cell{t: t, log: standin.NewLog(cfg), hosts: standin.NewHosts(0), topology: topology, daemons: make(map[string]*daemon)}
+	logServer, hostServer := httptest.NewServer(c.log), httptest.NewServer(c.hosts)
+	c.logURL, c.hostsURL = logServer.URL, hostServer.URL
+	t.Cleanup(func() {
+		for _, d := range c.daemons {
+			d.stop()
+		}
+		logServer.CloseClientConnections()
+		logServer.Close()
+		hostServer.Close()
+	})
+	for i := range 4 {
+		c.hosts.Set(platform.Host{ID: fmt.Sprintf("w%d", i), Kind: platform.WorkerHost, Zone: "lom-bergamo", Rack: fmt.Sprintf("r%d", i), State: platform.Live})
+	}
+	return c
+}
+
+// gatedTransport fails like a refused connection while the gate is closed.
+type gatedTransport struct {
+	cut *atomic.Bool
+	rt  http.RoundTripper
+}
+
+func (g gatedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if g.cut.Load() {
+		return nil, errors.New("connection refused by the test")
+	}
+	return g.rt.RoundTrip(r)
+}
+
+// gatedConn drops what passes in both directions while either end is isolated.
+type gatedConn struct {
+	net.Conn
+	silent func() bool
+}
+
+func (g gatedConn) Write(p []byte) (int, error) {
+	if g.silent() {
+		return len(p), nil
+	}
+	return g.Conn.Write(p)
+}
+
+func (g gatedConn) Read(p []byte) (int, error) {
+	for {
+		n, err := g.Conn.Read(p)
+		if err != nil || !g.silent() {
+			return n, err
+		}
+	}
+}
+
+// start runs a daemon. The incarnation must grow between starts of the same id.
+func (c *cell) start(id string, z zone.Name, incarnation uint64) *daemon {
+	c.t.Helper()
+	region, _ := c.topology.Region(z)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	d := &daemon{id: id, counters: &link.Counters{}}
+	self := link.Member{ID: id, Address: listener.Addr().String(), Zone: z, Region: region}
+	d.members = link.NewMembers(link.Config{Self: self, Incarnation: incarnation, Topology: c.topology, Counters: d.counters,
+		HeartbeatInterval: 50 * time.Millisecond, SuspectAfter: 400 * time.Millisecond, SilentAfter: 250 * time.Millisecond,
+		ProbeTimeout: 200 * time.Millisecond, DialTimeout: 200 * time.Millisecond, Stability: 500 * time.Millisecond,
+		StabilityMax: 10 * time.Second, Dial: c.dial(d)})
+	client := &http.Client{Transport: gatedTransport{&d.logCut, &http.Transport{}}}
+	direct := platform.NewLogClient(platform.ClientConfig{BaseURL: c.logURL, HTTP: client})
+	d.relayLog = link.NewLog(link.LogConfig{Direct: direct, Peers: d.members, LogRegion: "lombardy"})
+	cfg := contract.Config{Members: d.members, Incarnation: incarnation, Log: d.relayLog,
+		Hosts: platform.NewHostClient(platform.ClientConfig{BaseURL: c.hostsURL}), Topology: c.topology,
+		JobShards: 4, IDShards: 4, Tenure: 500 * time.Millisecond, TakeoverWait: 700 * time.Millisecond, RankDelay: 150 * time.Millisecond,
+		Tick: 20 * time.Millisecond, PollWait: 100 * time.Millisecond, HostsInterval: 100 * time.Millisecond, BalanceInterval: 300 * time.Millisecond,
+		SettleTimeout: 400 * time.Millisecond, SnapshotRecords: 1000}
+	if c.configure != nil {
+		c.configure(&cfg)
+	}
+	if d.claimer, err = contract.NewClaimer(cfg); err != nil {
+		c.t.Fatal(err)
+	}
+	d.grants = contract.NewGrants(d.claimer, contract.GrantsConfig{Interval: 30 * time.Millisecond})
+	relay := link.NewRelay(link.RelayConfig{Direct: direct, PollWait: 100 * time.Millisecond})
+	d.server = link.NewServer(link.ServerConfig{Listener: listener, Zone: z, Topology: c.topology, Counters: d.counters})
+	for _, part := range []error{d.server.Register(d.members.Register), d.server.Register(d.claimer.Register), d.server.Register(relay.Register)} {
+		if part != nil {
+			c.t.Fatal(part)
+		}
+	}
+	c.daemons[fmt.Sprint(id, "#", incarnation)] = d
+	c.hosts.Set(platform.Host{ID: id, Kind: platform.DaemonHost, Address: self.Address, Zone: z, State: platform.Live})
+	d.run(d.server.Run, d.members.Run, d.claimer.Run, d.grants.Run)
+	return d
+}
+
+func (c *cell) dial(d *daemon) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		cut := func() bool { return d.isolated.Load() || c.isolatedAddress(address) }
+		if cut() {
+			return nil, errors.New("connection refused by the test")
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return gatedConn{conn, cut}, nil
+	}
+}
+
+// run starts parts of the daemon until stop.
+func (d *daemon) run(parts ...func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for _, part := range parts {
+		d.wg.Go(func() { _ = part(ctx) })
+	}
+}
+
+// stop ends all goroutines of the daemon, as SIGKILL does; nothing is released.
+func (d *daemon) stop() {
+	d.cancel()
+	d.wg.Wait()
+}
+
+// isolatedAddress is called from many goroutines; daemons are looked up under a lock.
+func (c *cell) isolatedAddress(address string) bool {
+	v, ok := isolatedAddresses.Load(address)
+	return ok && v.(*atomic.Bool).Load()
+}
+
+var isolatedAddresses sync.Map // address -> *atomic.Bool
+
+// isolate cuts a daemon off from its peers and from the log, or ends that.
+func (d *daemon) isolate(on bool) {
+	isolatedAddresses.Store(d.members.Self().Address, &d.isolated)
+	d.isolated.Store(on)
+	d.logCut.Store(on)
+}
+
+// eventually polls until cond holds.
+func eventually(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("%s: not seen within %v", what, patience)
+}
+
+// holdAll reports whether the daemons hold n keys together, each once.
+func holdAll(n int, ds ...*daemon) func() bool {
+	return func() bool {
+		seen := make(map[contract.Key]bool)
+		for _, d := range ds {
+			for _, k := range d.claimer.Held() {
+				if seen[k] {
+					return false
+				}
+				seen[k] = true
+			}
+		}
+		return len(seen) == n
+	}
+}
--- /dev/null
+++ b/internal/standin/hosts.go
@@ -0,0 +1,121 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/platform"
+)
+
+// Hosts is a stand-in of the platform's host list. PUT /v1/hosts replaces the
+// list, PUT /v1/hosts/{id} sets one entry and PUT /v1/lag {"lag_ms"} the lag.
+type Hosts struct {
+	mux     *http.ServeMux
+	mu      sync.Mutex
+	lag     time.Duration
+	history []hostsAt // oldest first
+}
+
+type hostsAt struct {
+	at    time.Time
+	hosts map[string]platform.Host
+}
+
+// NewHosts returns an empty host list whose answers are lag old.
+func NewHosts(lag time.Duration) *Hosts {
+	h := &Hosts{mux: http.NewServeMux(), lag: lag}
+	h.mux.HandleFunc("GET /v1/hosts", h.handleGet)
+	h.mux.HandleFunc("PUT /v1/hosts", h.handlePutAll)
+	h.mux.HandleFunc("PUT /v1/hosts/{id}", h.handlePut)
+	h.mux.HandleFunc("PUT /v1/lag", h.handleLag)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Hosts) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+// Set adds or replaces entries.
+func (h *Hosts) Set(hosts ...platform.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := make(map[string]platform.Host)
+	if n := len(h.history); n > 0 {
+		for id, host := range h.history[n-1].hosts {
+			next[id] = host
+		}
+	}
+	for _, host := range hosts {
+		next[host.ID] = host
+	}
+	h.record(next)
+}
+
+func (h *Hosts) record(next map[string]platform.Host) {
+	now := time.Now()
+	for len(h.history) > 1 && now.Sub(h.history[1].at) > h.lag {
+		h.history = h.history[1:]
+	}
+	h.history = append(h.history, hostsAt{now, next})
+}
+
+func (h *Hosts) handleGet(w http.ResponseWriter, _ *http.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	cut := time.Now().Add(-h.lag)
+	hosts := []platform.Host{}
+	for i := len(h.history) - 1; i >= 0; i-- {
+		if !h.history[i].at.After(cut) {
+			for _, host := range h.history[i].hosts {
+				hosts = append(hosts, host)
+			}
+			break
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
+	writeJSON(w, http.StatusOK, map[string]any{"hosts": hosts})
+}
+
+func (h *Hosts) handlePutAll(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Hosts []platform.Host `json:"hosts"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	next := make(map[string]platform.Host, len(body.Hosts))
+	for _, host := range body.Hosts {
+		next[host.ID] = host
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.record(next)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Hosts) handlePut(w http.ResponseWriter, r *http.Request) {
+	var host platform.Host
+	if err := json.NewDecoder(r.Body).Decode(&host); err != nil || host.ID != r.PathValue("id") {
+		http.Error(w, "body must be a host with the id of the path", http.StatusBadRequest)
+		return
+	}
+	h.Set(host)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Hosts) handleLag(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		LagMS int `json:"lag_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lag = time.Duration(body.LagMS) * time.Millisecond
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/link/bytes.go
@@ -0,0 +1,121 @@
+package link
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+const (
+	magic       = "SLB1" // first bytes of every connection, followed by the dialer's zone
+	distances   = int(zone.CrossRegion) + 1
+	maxZoneName = 255 // bytes; the length is sent in one byte
+)
+
+// Bytes counts the bytes received and sent over connections of one distance.
+type Bytes struct{ In, Out uint64 }
+
+// Counters counts the bytes of connections per distance. The zero value is ready.
+type Counters struct {
+	in, out [distances]atomic.Uint64
+}
+
+// Snapshot returns the counts per distance.
+func (c *Counters) Snapshot() map[zone.Distance]Bytes {
+	m := make(map[zone.Distance]Bytes, distances)
+	for d := range distances {
+		m[zone.Distance(d)] = Bytes{In: c.in[d].Load(), Out: c.out[d].Load()}
+	}
+	return m
+}
+
+// countedConn counts what passes through a connection.
+type countedConn struct {
+	net.Conn
+	counters *Counters
+	distance zone.Distance
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counters.in[c.distance].Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counters.out[c.distance].Add(uint64(n))
+	return n, err
+}
+
+// sendPreamble names the dialer's zone, so that the acceptor knows the distance.
+func sendPreamble(c net.Conn, z zone.Name) error {
+	if len(z) > maxZoneName {
+		return errors.Errorf("zone name has %d bytes", len(z))
+	}
+	_, err := c.Write(append(append([]byte(magic), byte(len(z))), z...))
+	return err
+}
+
+// acceptedConn reads the preamble at the first read, in the goroutine that serves
+// the connection, and closes connections that the dialer leaves silent.
+type acceptedConn struct {
+	countedConn
+	topology *zone.Topology
+	self     zone.Name
+	idle     time.Duration
+	greeted  bool
+}
+
+// Read implements net.Conn. It is called from one goroutine only.
+func (c *acceptedConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+		return 0, err
+	}
+	if !c.greeted {
+		if err := c.readPreamble(); err != nil {
+			return 0, err
+		}
+		c.greeted = true
+	}
+	return c.countedConn.Read(p)
+}
+
+func (c *acceptedConn) readPreamble() error {
+	head := make([]byte, len(magic)+1)
+	if _, err := io.ReadFull(c.Conn, head); err != nil {
+		return err
+	}
+	if string(head[:len(magic)]) != magic {
+		return errors.New("connection does not start with the preamble")
+	}
+	name := make([]byte, head[len(magic)])
+	if _, err := io.ReadFull(c.Conn, name); err != nil {
+		return err
+	}
+	c.distance = c.topology.Distance(c.self, zone.Name(name))
+	c.counters.in[c.distance].Add(uint64(len(head) + len(name)))
+	return nil
+}
+
+// countingListener wraps accepted connections.
+type countingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(c), nil
+}
--- /dev/null
+++ b/link/members.go
@@ -0,0 +1,263 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// Config configures Members.
+type Config struct {
+	Self        Member // ID, Address, Zone and Region of this daemon; required
+	Incarnation uint64 // greater after every start of the daemon; required
+	Topology    *zone.Topology
+	Counters    *Counters // shared with Server; required
+	// HeartbeatInterval is the time between two beats to a peer. Default 500 ms.
+	HeartbeatInterval time.Duration
+	// SuspectAfter is the silence after which a peer is suspected. Default 1.5 s.
+	SuspectAfter time.Duration
+	// SilentAfter is the wait for the echo of a beat, after which the connection is
+	// replaced. It is below SuspectAfter, so that one silent connection does not
+	// make a peer suspected. Default 750 ms.
+	SilentAfter time.Duration
+	// ProbeTimeout bounds one probe, direct or on behalf of a peer. Default 500 ms.
+	ProbeTimeout time.Duration
+	// DialTimeout bounds the opening of a connection. Default 500 ms.
+	DialTimeout time.Duration
+	// IndirectProbes is how many peers are asked about a suspected one. Default 2.
+	IndirectProbes int
+	// Stability is how long a daemon that has come back is not eligible; it
+	// doubles per suspicion up to StabilityMax. Defaults 5 s and 5 min.
+	Stability, StabilityMax time.Duration
+	// ProbeIdle is the age from which an idle connection is probed before use. Default 1 s.
+	ProbeIdle time.Duration
+	// MaxIdle is the number of idle connections kept per peer. Default 16.
+	MaxIdle int
+	// Dial opens a TCP connection. Default: net.Dialer.
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	Logger zerolog.Logger
+}
+
+func (c Config) withDefaults() Config {
+	durations := []struct {
+		d   *time.Duration
+		def time.Duration
+	}{
+		{&c.HeartbeatInterval, 500 * time.Millisecond},
+		{&c.SuspectAfter, 1500 * time.Millisecond},
+		{&c.SilentAfter, 750 * time.Millisecond},
+		{&c.ProbeTimeout, 500 * time.Millisecond},
+		{&c.DialTimeout, 500 * time.Millisecond},
+		{&c.Stability, 5 * time.Second},
+		{&c.StabilityMax, 5 * time.Minute},
+		{&c.ProbeIdle, time.Second},
+	}
+	for _, d := range durations {
+		if *d.d <= 0 {
+			*d.d = d.def
+		}
+	}
+	if c.IndirectProbes <= 0 {
+		c.IndirectProbes = 2
+	}
+	if c.MaxIdle <= 0 {
+		c.MaxIdle = 16
+	}
+	if c.Dial == nil {
+		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
+	return c
+}
+
+// Members detects which daemons are alive and keeps the connections to them.
+type Members struct {
+	cfg Config
+
+	mu       sync.Mutex
+	peers    map[string]*peer
+	self     standing
+	started  context.Context // of Run; nil before
+	wg       sync.WaitGroup
+	lastTick time.Time
+}
+
+var _ Peers = (*Members)(nil)
+
+// NewMembers returns Members that know only this daemon.
+func NewMembers(cfg Config) *Members {
+	cfg = cfg.withDefaults()
+	cfg.Self.State = Alive
+	return &Members{cfg: cfg, peers: make(map[string]*peer)}
+}
+
+// Register adds the Link service to a server's mux.
+func (m *Members) Register(mux *drpcmux.Mux) error {
+	return rpc.DRPCRegisterLink(mux, linkService{m})
+}
+
+// SetKnown adds or updates daemons, from the host list or from join records. An
+// entry of state Left ends the contact with a daemon.
+func (m *Members) SetKnown(known ...Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range known {
+		if k.ID == m.cfg.Self.ID {
+			continue
+		}
+		p, ok := m.peers[k.ID]
+		switch {
+		case k.State == Left && ok:
+			p.leave()
+		case k.State == Left:
+		case !ok || p.member.State == Left:
+			m.peers[k.ID] = m.addPeer(k)
+		default:
+			p.update(k)
+		}
+	}
+}
+
+// Self implements Peers.
+func (m *Members) Self() Member { return m.cfg.Self }
+
+// Members implements Peers. The members are sorted by id.
+func (m *Members) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []Member{m.cfg.Self}
+	for _, p := range m.peers {
+		out = append(out, p.member)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Eligible reports whether the daemon may be ranked for keys: it is alive, and
+// if it has come back, its stability time has passed.
+func (m *Members) Eligible(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if id == m.cfg.Self.ID {
+		return !now.Before(m.self.eligibleAt)
+	}
+	p, ok := m.peers[id]
+	return ok && p.member.State == Alive && !now.Before(p.standing.eligibleAt)
+}
+
+// Conn implements Peers. The connection is safe for concurrent calls.
+func (m *Members) Conn(ctx context.Context, id string) (drpc.Conn, error) {
+	m.mu.Lock()
+	p, ok := m.peers[id]
+	m.mu.Unlock()
+	if !ok {
+		return nil, errkind.New(errkind.Unreachable, "unknown_peer", "daemon %q is not known", id)
+	}
+	conn, err := p.pool.take(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p.pool.put(conn)
+	return &pooled{pool: p.pool, ended: make(chan struct{})}, nil
+}
+
+// Run sends heartbeats and watches the peers until ctx ends.
+func (m *Members) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.started, m.lastTick = ctx, time.Now()
+	for _, p := range m.peers {
+		p.heard, p.member.State = time.Now(), initialState(p.member.State)
+		m.startPeer(p)
+	}
+	m.mu.Unlock()
+	tick := time.NewTicker(m.cfg.HeartbeatInterval / 2)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.stopPeers()
+			return nil
+		case <-tick.C:
+			m.inspect(ctx, time.Now())
+		}
+	}
+}
+
+func initialState(s State) State {
+	if s == Left {
+		return Left
+	}
+	return Suspected
+}
+
+func (m *Members) stopPeers() {
+	m.mu.Lock()
+	m.started = nil
+	peers := make([]*peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		peers = append(peers, p)
+	}
+	m.mu.Unlock()
+	m.wg.Wait()
+	for _, p := range peers {
+		p.pool.closeAll()
+	}
+}
+
+func (m *Members) addPeer(k Member) *peer {
+	k.State = Suspected // until first heard
+	p := &peer{id: k.ID, member: k, heard: time.Now(), changed: make(chan struct{})}
+	p.pool = &pool{
+		dial:      func(ctx context.Context) (*drpcconn.Conn, error) { return m.dial(ctx, p) },
+		probeIdle: m.cfg.ProbeIdle, probeTimeout: m.cfg.ProbeTimeout, maxIdle: m.cfg.MaxIdle,
+		all: make(map[*drpcconn.Conn]struct{}),
+	}
+	if m.started != nil {
+		m.startPeer(p)
+	}
+	return p
+}
+
+func (m *Members) startPeer(p *peer) {
+	if p.member.State == Left {
+		return
+	}
+	ctx, cancel := context.WithCancel(m.started)
+	p.cancel = cancel
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		m.beat(ctx, p)
+	}()
+}
+
+func (m *Members) dial(ctx context.Context, p *peer) (*drpcconn.Conn, error) {
+	m.mu.Lock()
+	address, z := p.member.Address, p.member.Zone
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout)
+	defer cancel()
+	raw, err := m.cfg.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &countedConn{raw, m.cfg.Counters, m.cfg.Topology.Distance(m.cfg.Self.Zone, z)}
+	if err := sendPreamble(c, m.cfg.Self.Zone); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return drpcconn.New(c), nil
+}
--- /dev/null
+++ b/link/peer.go
@@ -0,0 +1,287 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/rpc"
+)
+
+// peer is what this daemon knows about another one. Members.mu guards the fields.
+type peer struct {
+	id          string // never changes
+	member      Member
+	incarnation uint64
+	heard       time.Time
+	known       bool // heard at least once
+	asking      bool // indirect probes are running
+	standing    standing
+	cancel      context.CancelFunc
+	changed     chan struct{} // closed when the address changes
+	pool        *pool
+}
+
+// standing is the stability record of a daemon.
+type standing struct {
+	suspicions int
+	eligibleAt time.Time
+}
+
+// penalise makes a daemon that came back wait, twice as long per suspicion. A
+// daemon that was eligible for StabilityMax starts again with the shortest wait.
+func (s *standing) penalise(now time.Time, base, limit time.Duration) {
+	if now.Sub(s.eligibleAt) > limit {
+		s.suspicions = 0
+	}
+	wait := min(base<<min(s.suspicions, 20), limit)
+	s.suspicions++
+	s.eligibleAt = now.Add(wait)
+}
+
+func (p *peer) update(k Member) {
+	if k.Address != p.member.Address {
+		close(p.changed)
+		p.changed = make(chan struct{})
+		go p.pool.closeAll()
+	}
+	k.State = p.member.State
+	p.member = k
+}
+
+func (p *peer) leave() {
+	p.member.State = Left
+	if p.cancel != nil {
+		p.cancel()
+	}
+	go p.pool.closeAll()
+}
+
+// beat keeps one heartbeat stream to a peer and replaces it when it goes silent.
+func (m *Members) beat(ctx context.Context, p *peer) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := m.beatOnce(ctx, p)
+		if ctx.Err() != nil {
+			return
+		}
+		m.cfg.Logger.Debug().Str("event", "heartbeat_stream_ended").Str("peer", p.id).Err(err).Send()
+		p.pool.closeIdle()
+		// A stream that lasted is replaced at once; failing dials are paced.
+		if time.Since(began) < m.cfg.HeartbeatInterval {
+			sleep(ctx, m.cfg.HeartbeatInterval/2)
+		}
+	}
+}
+
+func (m *Members) beatOnce(ctx context.Context, p *peer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.mu.Lock()
+	changed := p.changed
+	m.mu.Unlock()
+	conn, err := m.dial(ctx, p)
+	if err != nil {
+		return err
+	}
+	var once sync.Once
+	// Close waits for the reader, so that it must not hold up the watchdog.
+	end := func() { once.Do(func() { cancel(); _ = conn.Close() }) }
+	defer end()
+	watchdog := time.AfterFunc(m.cfg.SilentAfter, end)
+	defer watchdog.Stop()
+	stream, err := rpc.NewDRPCLinkClient(conn).Heartbeats(ctx)
+	if err != nil {
+		return err
+	}
+	for seq := uint64(1); ; seq++ {
+		watchdog.Reset(m.cfg.SilentAfter)
+		b := &rpc.Beat{Seq: seq}
+		if seq == 1 {
+			b.Daemon, b.Incarnation = m.cfg.Self.ID, m.cfg.Incarnation
+		}
+		if err := stream.Send(b); err != nil {
+			return err
+		}
+		echo, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		watchdog.Stop()
+		if echo.Seq != seq {
+			return errors.Errorf("echo of beat %d instead of %d", echo.Seq, seq)
+		}
+		if seq == 1 && echo.Daemon != p.id {
+			return errors.Errorf("daemon %q answers at the address of %q", echo.Daemon, p.id)
+		}
+		m.hear(p.id, echo.Incarnation)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+			return errors.New("address changed")
+		case <-time.After(m.cfg.HeartbeatInterval):
+		}
+	}
+}
+
+// hear notes that a daemon is alive. The incarnation is zero if not stated.
+func (m *Members) hear(id string, incarnation uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.peers[id]
+	if !ok || p.member.State == Left {
+		return
+	}
+	now := time.Now()
+	restarted := incarnation != 0 && p.incarnation != 0 && incarnation != p.incarnation
+	if p.known && p.member.State == Dead || restarted {
+		p.standing.penalise(now, m.cfg.Stability, m.cfg.StabilityMax)
+	}
+	if incarnation != 0 {
+		p.incarnation = incarnation
+	}
+	if p.member.State != Alive {
+		m.cfg.Logger.Info().Str("event", "member_alive").Str("peer", id).Send()
+	}
+	p.heard, p.member.State, p.known = now, Alive, true
+}
+
+// inspect suspects silent peers and starts indirect probes.
+func (m *Members) inspect(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.lastTick) > m.cfg.SuspectAfter {
+		// This daemon was paused: its peers may have been talking all the time,
+		// and to them it is the one that comes back.
+		m.self.penalise(now, m.cfg.Stability, m.cfg.StabilityMax)
+		for _, p := range m.peers {
+			p.heard = now
+		}
+	}
+	m.lastTick = now
+	for id, p := range m.peers {
+		if now.Sub(p.heard) <= m.cfg.SuspectAfter || p.asking {
+			continue
+		}
+		if p.member.State == Alive {
+			p.member.State = Suspected
+			m.cfg.Logger.Info().Str("event", "member_suspected").Str("peer", id).Send()
+		}
+		if p.member.State != Suspected {
+			continue
+		}
+		p.asking = true
+		go m.confirm(ctx, p, m.askers(id))
+	}
+}
+
+// askers returns the peers that probe id on behalf of this daemon, nearest first.
+func (m *Members) askers(id string) []string {
+	var ids []string
+	for _, same := range []bool{true, false} {
+		for other, p := range m.peers {
+			if other != id && p.member.State == Alive && (p.member.Region == m.cfg.Self.Region) == same {
+				ids = append(ids, other)
+			}
+		}
+	}
+	return ids[:min(len(ids), m.cfg.IndirectProbes)]
+}
+
+// confirm asks other peers about a suspected one and settles its state.
+func (m *Members) confirm(ctx context.Context, p *peer, askers []string) {
+	ctx, cancel := context.WithTimeout(ctx, 3*m.cfg.ProbeTimeout)
+	defer cancel()
+	answers := make(chan bool, len(askers))
+	for _, id := range askers {
+		go func() { answers <- m.askPeer(ctx, id, p.id) }()
+	}
+	reached := false
+	for range askers {
+		reached = <-answers || reached
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.asking = false
+	if p.member.State != Suspected {
+		return
+	}
+	if reached {
+		p.heard, p.member.State = time.Now(), Alive
+		return
+	}
+	p.member.State = Dead
+	go p.pool.closeAll()
+	m.cfg.Logger.Warn().Str("event", "member_dead").Str("peer", p.member.ID).Int("asked", len(askers)).Send()
+}
+
+func (m *Members) askPeer(ctx context.Context, id, target string) bool {
+	conn, err := m.Conn(ctx, id)
+	if err != nil {
+		return false
+	}
+	resp, err := rpc.NewDRPCLinkClient(conn).Probe(ctx, &rpc.ProbeRequest{Target: target})
+	return err == nil && resp.Reached
+}
+
+// linkService serves the Link service.
+type linkService struct{ m *Members }
+
+// Heartbeats echoes beats; each one shows that its sender is alive.
+func (s linkService) Heartbeats(stream rpc.DRPCLink_HeartbeatsStream) error {
+	var from string
+	for {
+		b, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		echo := &rpc.Beat{Seq: b.Seq}
+		if b.Daemon != "" {
+			from = b.Daemon
+			echo.Daemon, echo.Incarnation = s.m.cfg.Self.ID, s.m.cfg.Incarnation
+		}
+		if s.m.running() {
+			s.m.hear(from, b.Incarnation)
+		}
+		if err := stream.Send(echo); err != nil {
+			return err
+		}
+	}
+}
+
+// Probe answers, or probes another peer over a fresh connection.
+func (s linkService) Probe(ctx context.Context, req *rpc.ProbeRequest) (*rpc.ProbeResponse, error) {
+	if req.Target == "" || req.Target == s.m.cfg.Self.ID {
+		return &rpc.ProbeResponse{Reached: true}, nil
+	}
+	s.m.mu.Lock()
+	p, ok := s.m.peers[req.Target]
+	s.m.mu.Unlock()
+	if !ok {
+		return &rpc.ProbeResponse{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.m.cfg.ProbeTimeout)
+	defer cancel()
+	conn, err := s.m.dial(ctx, p)
+	if err != nil {
+		return &rpc.ProbeResponse{}, nil
+	}
+	defer func() { _ = conn.Close() }()
+	return &rpc.ProbeResponse{Reached: p.pool.probe(ctx, conn)}, nil
+}
+
+func (m *Members) running() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.started != nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/link/relay.go
@@ -0,0 +1,224 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/rpc"
+)
+
+// RelayConfig configures a Relay.
+type RelayConfig struct {
+	Direct platform.Log // reads the log itself; required
+	// Window is the number of recent records kept per stream. Default 4096.
+	Window int
+	// PollWait is the long poll of the relay's own reads. Default 300 ms.
+	PollWait time.Duration
+	// MaxAge is the age of the last good read from which the relay refuses to answer. Default 1.5 s.
+	MaxAge time.Duration
+	// Idle ends the reading of a stream that nobody asked for. Default 30 s.
+	Idle time.Duration
+	// MaxWait bounds the long poll of a caller. Default 5 s.
+	MaxWait time.Duration
+	Logger  zerolog.Logger
+}
+
+func (c RelayConfig) withDefaults() RelayConfig {
+	if c.Window <= 0 {
+		c.Window = 4096
+	}
+	if c.PollWait <= 0 {
+		c.PollWait = 300 * time.Millisecond
+	}
+	if c.MaxAge <= 0 {
+		c.MaxAge = 1500 * time.Millisecond
+	}
+	if c.Idle <= 0 {
+		c.Idle = 30 * time.Second
+	}
+	if c.MaxWait <= 0 {
+		c.MaxWait = 5 * time.Second
+	}
+	return c
+}
+
+// Relay reads streams of the log on demand and hands the records to the daemons
+// of the region, so that a record crosses the region link once.
+type Relay struct {
+	cfg   RelayConfig
+	mu    sync.Mutex
+	tails map[string]*tail
+}
+
+// tail is the recent part of one stream. Relay.mu guards it.
+type tail struct {
+	batch   platform.Batch // Records are contiguous and end at Next
+	base    platform.Offset
+	valid   bool
+	started time.Time // start of the last read that reached the head
+	asked   time.Time
+	changed chan struct{}
+}
+
+// NewRelay returns a Relay.
+func NewRelay(cfg RelayConfig) *Relay {
+	return &Relay{cfg: cfg.withDefaults(), tails: make(map[string]*tail)}
+}
+
+// Register adds the LogRelay service to a server's mux.
+func (r *Relay) Register(mux *drpcmux.Mux) error { return rpc.DRPCRegisterLogRelay(mux, r) }
+
+var _ rpc.DRPCLogRelayServer = (*Relay)(nil)
+
+// ReadLog implements the LogRelay service.
+func (r *Relay) ReadLog(ctx context.Context, req *rpc.ReadLogRequest) (*rpc.ReadLogResponse, error) {
+	wait := min(time.Duration(req.WaitMs)*time.Millisecond, r.cfg.MaxWait)
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for ended := wait == 0; ; {
+		resp, changed, behind := r.fromTail(req, ended)
+		if behind {
+			return r.direct(ctx, req)
+		}
+		if resp != nil {
+			return resp, nil
+		}
+		if ended {
+			return nil, errkind.New(errkind.LogUnavailable, "relay_stale", "relay cannot read %s", req.Stream)
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			ended = true
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// fromTail answers from the recent records. behind means that they do not reach
+// back far enough; a nil answer means that the caller has to wait.
+func (r *Relay) fromTail(req *rpc.ReadLogRequest, ended bool) (resp *rpc.ReadLogResponse, changed chan struct{}, behind bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, now := r.tail(req.Stream), time.Now()
+	t.asked = now
+	from := platform.Offset(req.From)
+	if !t.valid || from < t.base {
+		return nil, nil, true
+	}
+	age := now.Sub(t.started)
+	more := from < t.batch.Next
+	if age > r.cfg.MaxAge || (!more && !ended) {
+		return nil, t.changed, false
+	}
+	b := platform.Batch{Next: from, Head: t.batch.Head, Oldest: t.batch.Oldest}
+	if more {
+		all := t.batch.Records[from-t.base:]
+		b.Records = all[:min(len(all), int(req.Limit))]
+		b.Next = from + platform.Offset(len(b.Records))
+	}
+	return answer(b, age), nil, false
+}
+
+func answer(b platform.Batch, age time.Duration) *rpc.ReadLogResponse {
+	resp := &rpc.ReadLogResponse{Next: uint64(b.Next), Head: uint64(b.Head), Oldest: uint64(b.Oldest),
+		AgeMs: uint32(age.Milliseconds()) + 1} // rounded up
+	for _, rec := range b.Records {
+		resp.Records = append(resp.Records, &rpc.LogRecord{Offset: uint64(rec.Offset), Data: rec.Data})
+	}
+	return resp
+}
+
+// direct reads the log for a caller that is further back than the tail.
+func (r *Relay) direct(ctx context.Context, req *rpc.ReadLogRequest) (*rpc.ReadLogResponse, error) {
+	start := time.Now()
+	b, err := r.cfg.Direct.Read(ctx, req.Stream, platform.Offset(req.From), int(req.Limit), 0)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		return &rpc.ReadLogResponse{Trimmed: true, Oldest: uint64(trimmed.Oldest)}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return answer(b, time.Since(start)), nil
+}
+
+// tail returns the tail of a stream and starts its reader if needed.
+func (r *Relay) tail(stream string) *tail {
+	t, ok := r.tails[stream]
+	if !ok {
+		t = &tail{changed: make(chan struct{}), asked: time.Now()}
+		r.tails[stream] = t
+		go r.follow(stream, t)
+	}
+	return t
+}
+
+// follow reads a stream until nobody has asked for it for Idle.
+func (r *Relay) follow(stream string, t *tail) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var from platform.Offset
+	known := false
+	for {
+		r.mu.Lock()
+		if time.Since(t.asked) > r.cfg.Idle {
+			delete(r.tails, stream)
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		if !known {
+			head, err := platform.Head(ctx, r.cfg.Direct, stream)
+			if err != nil {
+				sleep(ctx, r.cfg.PollWait/4)
+				continue
+			}
+			from, known = head, true
+		}
+		start := time.Now()
+		b, err := r.cfg.Direct.Read(ctx, stream, from, r.cfg.Window, r.cfg.PollWait)
+		switch {
+		case errors.Is(err, platform.ErrTrimmed):
+			known = false
+			r.reset(t)
+		case err != nil:
+			sleep(ctx, r.cfg.PollWait/4)
+		default:
+			r.extend(t, from, b, start)
+			from = b.Next
+		}
+	}
+}
+
+func (r *Relay) reset(t *tail) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.valid, t.batch, t.base = false, platform.Batch{}, 0
+}
+
+func (r *Relay) extend(t *tail, from platform.Offset, b platform.Batch, start time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !t.valid {
+		t.valid, t.base = true, from
+	}
+	records := append(t.batch.Records, b.Records...)
+	if over := len(records) - r.cfg.Window; over > 0 {
+		records, t.base = append([]platform.Record(nil), records[over:]...), t.base+platform.Offset(over)
+	}
+	t.batch = platform.Batch{Records: records, Next: b.Next, Head: b.Head, Oldest: b.Oldest}
+	if b.Next == b.Head {
+		t.started = start
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
--- /dev/null
+++ b/link/relaylog.go
@@ -0,0 +1,180 @@
+package link
+
+import (
+	"context"
+	"hash/fnv"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// LogConfig configures a Log.
+type LogConfig struct {
+	Direct    platform.Log // required
+	Peers     Peers        // required
+	LogRegion zone.Region  // region of the log; its daemons read directly
+	// Attempt bounds one source in addition to the wait of a long poll. Default 400 ms.
+	Attempt time.Duration
+	// MaxPeers is the number of peers tried for one read. Default 2.
+	MaxPeers int
+	// RetryPreferred is how long a source that worked is kept before the preferred
+	// one is tried again. Default 5 s.
+	RetryPreferred time.Duration
+}
+
+// Log reads the log directly or through the relay of the region, and falls back
+// to the other way. Appends always go directly.
+type Log struct {
+	cfg LogConfig
+
+	mu    sync.Mutex
+	good  string // source of the last good read; empty means direct
+	known bool
+	until time.Time // good is tried first until then
+}
+
+var (
+	_ platform.Log        = (*Log)(nil)
+	_ platform.AgedReader = (*Log)(nil)
+)
+
+// NewLog returns a Log.
+func NewLog(cfg LogConfig) *Log {
+	if cfg.Attempt <= 0 {
+		cfg.Attempt = 400 * time.Millisecond
+	}
+	if cfg.MaxPeers <= 0 {
+		cfg.MaxPeers = 2
+	}
+	if cfg.RetryPreferred <= 0 {
+		cfg.RetryPreferred = 5 * time.Second
+	}
+	return &Log{cfg: cfg}
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+	return l.cfg.Direct.Append(ctx, stream, records)
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	b, _, err := l.ReadAged(ctx, stream, from, limit, wait)
+	return b, err
+}
+
+// ReadAged implements platform.AgedReader.
+func (l *Log) ReadAged(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, time.Duration, error) {
+	var last error
+	for _, source := range l.sources() {
+		attempt, cancel := context.WithTimeout(ctx, l.cfg.Attempt+wait)
+		b, age, err := l.readFrom(attempt, source, stream, from, limit, wait)
+		cancel()
+		if err == nil || errors.Is(err, platform.ErrTrimmed) {
+			l.remember(source)
+			return b, age, err
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return platform.Batch{}, 0, errkind.Wrap(errkind.LogUnavailable, "no_source", last)
+}
+
+func (l *Log) readFrom(ctx context.Context, source, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, time.Duration, error) {
+	if source == "" {
+		b, err := l.cfg.Direct.Read(ctx, stream, from, limit, wait)
+		return b, 0, err
+	}
+	conn, err := l.cfg.Peers.Conn(ctx, source)
+	if err != nil {
+		return platform.Batch{}, 0, err
+	}
+	resp, err := rpc.NewDRPCLogRelayClient(conn).ReadLog(ctx, &rpc.ReadLogRequest{
+		Stream: stream, From: uint64(from), Limit: uint32(limit), WaitMs: uint32(wait.Milliseconds())})
+	if err != nil {
+		return platform.Batch{}, 0, err
+	}
+	if resp.Trimmed {
+		return platform.Batch{}, 0, &platform.TrimmedError{Stream: stream, Oldest: platform.Offset(resp.Oldest)}
+	}
+	b := platform.Batch{Next: platform.Offset(resp.Next), Head: platform.Offset(resp.Head), Oldest: platform.Offset(resp.Oldest)}
+	for _, rec := range resp.Records {
+		b.Records = append(b.Records, platform.Record{Offset: platform.Offset(rec.Offset), Data: rec.Data})
+	}
+	return b, time.Duration(resp.AgeMs) * time.Millisecond, nil
+}
+
+func (l *Log) remember(source string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); !l.known || l.good != source || now.After(l.until) {
+		l.good, l.known, l.until = source, true, now.Add(l.cfg.RetryPreferred)
+	}
+}
+
+// sources returns where to read, best first. The empty source is the log itself.
+func (l *Log) sources() []string {
+	self := l.cfg.Peers.Self()
+	near := regionByRank(l.cfg.Peers.Members(), self.Region)
+	relay := len(near) > 0 && near[0] == self.ID
+	peers := make([]string, 0, l.cfg.MaxPeers)
+	for _, id := range near {
+		if id != self.ID && len(peers) < l.cfg.MaxPeers {
+			peers = append(peers, id)
+		}
+	}
+	out := append([]string{""}, peers...)
+	if self.Region != l.cfg.LogRegion && !relay {
+		out = append(peers, "")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known && time.Now().Before(l.until) {
+		for i, source := range out {
+			if source == l.good {
+				copy(out[1:i+1], out[:i])
+				out[0] = source
+				break
+			}
+		}
+	}
+	return out
+}
+
+// regionByRank returns the live daemons of a region, the relay first. The rank
+// is the same on every daemon that sees the same members.
+func regionByRank(members []Member, r zone.Region) []string {
+	var ids []string
+	for _, m := range members {
+		if m.Region == r && m.State == Alive {
+			ids = append(ids, m.ID)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return relayWeight(r, ids[i]) > relayWeight(r, ids[j]) })
+	return ids
+}
+
+func relayWeight(r zone.Region, id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte("relay/" + string(r) + "/" + id))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of an FNV hash, whose high bits differ little between
+// inputs that differ in their last byte.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
