--- /dev/null
+++ b/job/fakelog_test.go
@@ -0,0 +1,92 @@
+package job
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/platform"
+)
+
+// memLog is a log service in memory.
+type memLog struct {
+	mu      sync.Mutex
+	records []platform.Record
+	next    platform.Offset
+	oldest  platform.Offset
+	keep    int // retention in records; 0 keeps all
+	down    bool
+	lose    int // answers of appends that are lost after the effect
+	appends int
+	moved   chan struct{}
+}
+
+func newMemLog() *memLog { return &memLog{moved: make(chan struct{})} }
+
+func (l *memLog) set(fn func(*memLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fn(l)
+}
+
+func (l *memLog) Append(_ context.Context, _ string, records [][]byte) (platform.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, errkind.New(errkind.LogUnavailable, "log_down", "log is down")
+	}
+	first := l.next
+	l.appends++
+	for _, r := range records {
+		l.records = append(l.records, platform.Record{Offset: l.next, Data: append([]byte(nil), r...)})
+		l.next++
+	}
+	if drop := len(l.records) - l.keep; l.keep > 0 && drop > 0 {
+		l.records = append([]platform.Record(nil), l.records[drop:]...)
+		l.oldest = l.records[0].Offset
+	}
+	close(l.moved)
+	l.moved = make(chan struct{})
+	if l.lose > 0 {
+		l.lose--
+		return 0, errkind.New(errkind.AppendUnknown, "answer_lost", "answer lost")
+	}
+	return first, nil
+}
+
+func (l *memLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		if l.down {
+			l.mu.Unlock()
+			return platform.Batch{}, errkind.New(errkind.LogUnavailable, "log_down", "log is down")
+		}
+		if from < l.oldest {
+			oldest := l.oldest
+			l.mu.Unlock()
+			return platform.Batch{}, &platform.TrimmedError{Stream: stream, Oldest: oldest}
+		}
+		b := platform.Batch{Next: from, Head: l.next, Oldest: l.oldest}
+		for _, r := range l.records {
+			if r.Offset >= from && len(b.Records) < limit {
+				b.Records = append(b.Records, r)
+				b.Next = r.Offset + 1
+			}
+		}
+		moved := l.moved
+		l.mu.Unlock()
+		if len(b.Records) > 0 || wait == 0 {
+			return b, nil
+		}
+		select {
+		case <-moved:
+		case <-timer.C:
+			return b, nil
+		case <-ctx.Done():
+			return platform.Batch{}, errkind.Wrap(errkind.LogUnavailable, "cancelled", ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/job/journal.go
@@ -0,0 +1,138 @@
+package job
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/platform"
+)
+
+const (
+	// tailWait is the long poll of the jobs stream.
+	tailWait = time.Second
+	// tailBatch bounds the records of one read.
+	tailBatch = 1000
+	// tailRetry is the pause after a failed read.
+	tailRetry = 100 * time.Millisecond
+)
+
+// journal appends to the jobs stream and follows it. A record has an effect
+// only when it is read back.
+type journal struct {
+	log    platform.Log
+	writer *platform.Writer
+	apply  func(platform.Record)
+
+	mu     sync.Mutex
+	next   platform.Offset // all records below are applied
+	oldest platform.Offset
+	moved  chan struct{} // closed when next moves
+	folded chan struct{} // closed when the head of the first read is reached
+	head   platform.Offset
+}
+
+func newJournal(log platform.Log, w *platform.Writer, apply func(platform.Record)) *journal {
+	return &journal{log: log, writer: w, apply: apply, moved: make(chan struct{}), folded: make(chan struct{})}
+}
+
+// follow applies the stream from its oldest record until ctx ends.
+func (j *journal) follow(ctx context.Context) {
+	first := true
+	for ctx.Err() == nil {
+		j.mu.Lock()
+		from := j.next
+		j.mu.Unlock()
+		b, err := j.log.Read(ctx, platform.StreamJobs, from, tailBatch, tailWait)
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) {
+			// Open jobs were carried forward before retention.
+			j.mu.Lock()
+			j.next = max(j.next, trimmed.Oldest)
+			j.mu.Unlock()
+			continue
+		}
+		if err != nil {
+			sleep(ctx, tailRetry)
+			continue
+		}
+		if first {
+			j.head, first = b.Head, false
+		}
+		for _, r := range b.Records {
+			j.apply(r)
+		}
+		j.mu.Lock()
+		j.next, j.oldest = max(j.next, b.Next), b.Oldest
+		close(j.moved)
+		j.moved = make(chan struct{})
+		done := j.next >= j.head
+		j.mu.Unlock()
+		if done {
+			select {
+			case <-j.folded:
+			default:
+				close(j.folded)
+			}
+		}
+	}
+}
+
+// append writes one record and returns when it was read back and applied.
+func (j *journal) append(ctx context.Context, kind string, body record) error {
+	e, err := platform.NewEnvelope(kind, body)
+	if err != nil {
+		return err
+	}
+	off, err := j.writer.Append(ctx, e)
+	if err != nil {
+		return err
+	}
+	return j.await(ctx, off)
+}
+
+func (j *journal) await(ctx context.Context, off platform.Offset) error {
+	for {
+		j.mu.Lock()
+		next, moved := j.next, j.moved
+		j.mu.Unlock()
+		if next > off {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return errkind.Wrap(errkind.AppendUnknown, "not_read_back", ctx.Err())
+		}
+	}
+}
+
+// position returns the oldest offset kept and the next one to read.
+func (j *journal) position() (oldest, next platform.Offset) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.oldest, j.next
+}
+
+// appendAll writes records of one kind as one group.
+func (j *journal) appendAll(ctx context.Context, kind string, bodies []record) error {
+	if len(bodies) == 0 {
+		return nil
+	}
+	group := make([]platform.Envelope, 0, len(bodies))
+	for _, b := range bodies {
+		e, err := platform.NewEnvelope(kind, b)
+		if err != nil {
+			return err
+		}
+		group = append(group, e)
+	}
+	first, err := j.writer.AppendAll(ctx, group)
+	if err != nil {
+		return err
+	}
+	return j.await(ctx, first+platform.Offset(len(group))-1)
+}
--- /dev/null
+++ b/job/records.go
@@ -0,0 +1,150 @@
+package job
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/workload"
+)
+
+// Kinds of the records in platform.StreamJobs.
+const (
+	recordAccepted = "job_accepted"
+	recordCancel   = "job_cancel"
+	recordEnds     = "task_ends"
+	recordEnd      = "job_end"
+	recordCarried  = "job_carried" // replaces all earlier records of a job
+)
+
+// States of a job.
+const (
+	Accepted   = "accepted" // waits or runs
+	Cancelling = "cancelling"
+	Finished   = "finished"   // final: every task finished
+	Failed     = "failed"     // final
+	Cancelled  = "cancelled"  // final: no task runs any more
+	Impossible = "impossible" // final: it can never run
+)
+
+// record is the body of every record. Fields that a kind does not use are empty.
+type record struct {
+	Shard   string        `json:"shard"`
+	Job     *workload.Job `json:"job,omitempty"`
+	ID      string        `json:"id,omitempty"` // of the job
+	Managed bool          `json:"managed,omitempty"`
+	At      time.Time     `json:"at,omitzero"`
+	Ends    []taskEnd     `json:"ends,omitempty"`
+	State   string        `json:"state,omitempty"`
+	Reason  string        `json:"reason,omitempty"`
+	Cancel  bool          `json:"cancel,omitempty"`
+	Ended   time.Time     `json:"ended,omitzero"`
+	Carried time.Time     `json:"carried,omitzero"` // when a carried record was written
+}
+
+// taskEnd is the end of one attempt that must outlive the job scheduler.
+type taskEnd struct {
+	Job     string             `json:"j,omitempty"`
+	Task    int                `json:"t"`
+	Attempt int                `json:"a"`
+	State   workload.TaskState `json:"s"`
+}
+
+type endKey struct {
+	job     string
+	task    int
+	attempt int
+}
+
+func (e taskEnd) key() endKey { return endKey{e.Job, e.Task, e.Attempt} }
+
+// jobState is a job of a shard. It is guarded by the lock of the shard.
+type jobState struct {
+	job        workload.Job
+	managed    bool // wanted by the configuration
+	acceptedAt time.Time
+	offset     platform.Offset // newest record that holds the whole job
+	recordedAt time.Time
+	ends       map[endKey]taskEnd
+	finished   map[int]bool // tasks
+	cancel     bool
+	ending     bool // an end record is being written
+	state      string
+	reason     string
+	endedAt    time.Time
+
+	recovering bool // accepted before this tenure; missing tasks may not be placed yet
+	regrouping bool // a gang found incomplete, whose rest is being stopped
+	submitted  bool // the engine knows the job
+	flights    map[string]*flight
+	tries      map[string]int
+}
+
+func newJobState(j workload.Job) *jobState {
+	return &jobState{
+		job: j, state: Accepted, ends: make(map[endKey]taskEnd), finished: make(map[int]bool),
+		flights: make(map[string]*flight), tries: make(map[string]int),
+	}
+}
+
+func (j *jobState) final() bool { return finalState(j.state) }
+
+func finalState(s string) bool { return s != Accepted && s != Cancelling }
+
+// addEnd notes the end of an attempt and reports whether it is new.
+func (j *jobState) addEnd(e taskEnd) bool {
+	e.Job = j.job.ID
+	if _, ok := j.ends[e.key()]; ok {
+		return false
+	}
+	j.ends[e.key()] = e
+	if e.State == workload.Finished {
+		j.finished[e.Task] = true
+	}
+	return true
+}
+
+// end moves the job to a final state, once.
+func (j *jobState) end(state, reason string, at time.Time) {
+	if !j.final() {
+		j.state, j.reason, j.endedAt = state, reason, at
+	}
+}
+
+// carried returns the record that replaces all earlier ones of the job.
+func (j *jobState) carried(shard string) record {
+	r := record{
+		Shard: shard, Job: &j.job, ID: j.job.ID, Managed: j.managed, At: j.acceptedAt,
+		State: j.state, Reason: j.reason, Cancel: j.cancel, Ended: j.endedAt,
+	}
+	if !j.final() {
+		for _, e := range j.ends {
+			e.Job = ""
+			r.Ends = append(r.Ends, e)
+		}
+	}
+	return r
+}
+
+// taskIndex returns the index of a task within its job.
+func taskIndex(id string) (job string, index int, ok bool) {
+	i := strings.LastIndexByte(id, '.')
+	if i < 0 {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(id[i+1:])
+	return id[:i], index, err == nil
+}
+
+func decodeRecord(data []byte) (kind string, r record, ok bool) {
+	e, ok := platform.DecodeEnvelope(data)
+	if !ok {
+		return "", record{}, false
+	}
+	if err := json.Unmarshal(e.Body, &r); err != nil {
+		return "", record{}, false
+	}
+	return e.Kind, r, true
+}
--- a/machine/resources.go
+++ b/machine/resources.go
@@ -43,3 +43,13 @@
 func (r Resources) String() string {
 	return fmt.Sprintf("cpu=%dm mem=%dMiB acc=%d", r.CPUMilli, r.MemoryMiB, r.Accelerators)
 }
+
+// ThrottledCPUShare is the share of its processors that a throttled task keeps.
+// Its memory and accelerators stay in use.
+const ThrottledCPUShare = 0.5
+
+// Throttled returns what a task of size r holds while it is throttled.
+func Throttled(r Resources) Resources {
+	r.CPUMilli -= int64(float64(r.CPUMilli) * (1 - ThrottledCPUShare))
+	return r
+}
--- /dev/null
+++ b/machine/worker.go
@@ -0,0 +1,321 @@
+package machine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+// ClockDrift is the largest assumed drift between two monotonic clocks
+// (assumption A7 of docs/design.md).
+const ClockDrift = 0.01
+
+// maxWorkerAnswerBytes bounds an answer of a worker: 10,000 tasks of about 400 bytes.
+const maxWorkerAnswerBytes = 4 << 20
+
+// Refusals of a worker, as the reason of an error.
+const (
+	ReasonStaleEpoch     = "stale_epoch"
+	ReasonExpiredCommand = "expired_command"
+	ReasonNoCapacity     = "no_capacity"
+	ReasonNoLease        = "no_lease" // the lease of the worker has lapsed
+	ReasonUnknownTask    = "unknown_task"
+	ReasonTenure         = "tenure_passed"
+	ReasonNotSent        = "not_sent"
+	ReasonAnswerLost     = "answer_lost"
+)
+
+// StopMode selects what a stop command does to a task.
+type StopMode string
+
+// The stop modes.
+const (
+	ModeStop       StopMode = "stop"
+	ModeCheckpoint StopMode = "checkpoint"
+	ModeThrottle   StopMode = "throttle"
+	ModeResume     StopMode = "resume"
+)
+
+// TaskStart is the task of a start command. Its fields match workload.Task,
+// which this package cannot import.
+type TaskStart struct {
+	ID         string        `json:"task"`
+	Attempt    int           `json:"attempt"`
+	Job        string        `json:"job"`
+	Team       string        `json:"team"`
+	Kind       string        `json:"kind"`
+	Priority   int           `json:"priority"`
+	Preempt    bool          `json:"preemptible"`
+	Shard      string        `json:"shard"`
+	ShardEpoch uint64        `json:"shard_epoch"`
+	Resources  Resources     `json:"resources"`
+	RunTime    time.Duration `json:"run_time,omitempty"`
+}
+
+// TaskReport is a task in the inventory of a worker.
+type TaskReport struct {
+	TaskStart
+	State string    `json:"state"` // a workload.TaskState
+	Exit  int       `json:"exit"`
+	RanMS int64     `json:"ran_ms"`
+	Usage Resources `json:"usage"`
+}
+
+// TaskRef names one attempt of a task.
+type TaskRef struct {
+	Task    string `json:"task"`
+	Attempt int    `json:"attempt"`
+}
+
+// RenewRequest is the body of a renewal. LeaseMS zero reads the inventory and
+// raises the epoch without extending the leases.
+type RenewRequest struct {
+	Epoch      uint64 `json:"epoch"`
+	NotAfterMS int64  `json:"not_after_ms"` // zero: not bounded, only allowed with LeaseMS zero
+	LeaseMS    int64  `json:"lease_ms"`
+}
+
+// RenewReply is the answer to a renewal.
+type RenewReply struct {
+	ClockMS  int64        `json:"clock_ms"`
+	Epoch    uint64       `json:"epoch"`
+	Capacity Resources    `json:"capacity"`
+	Tasks    []TaskReport `json:"tasks"`
+}
+
+// StartRequest is the body of a start command.
+type StartRequest struct {
+	Epoch      uint64    `json:"epoch"`
+	NotAfterMS int64     `json:"not_after_ms"`
+	Task       TaskStart `json:"task"`
+}
+
+// StopRequest is the body of a stop command.
+type StopRequest struct {
+	Epoch      uint64   `json:"epoch"`
+	NotAfterMS int64    `json:"not_after_ms"`
+	Attempt    int      `json:"attempt"`
+	Mode       StopMode `json:"mode"`
+}
+
+// AckRequest is the body of an acknowledgement.
+type AckRequest struct {
+	Epoch uint64    `json:"epoch"`
+	Tasks []TaskRef `json:"tasks"`
+}
+
+// Refusal is the body of a 4xx answer.
+type Refusal struct {
+	Reason string `json:"reason"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// WorkerConfig configures a WorkerClient.
+type WorkerConfig struct {
+	Address   string                        // IP:port
+	Epoch     uint64                        // fencing token of every command
+	Drift     float64                       // default ClockDrift
+	Timeout   time.Duration                 // of one call; default 2 s
+	Transport http.RoundTripper             // default: one connection of its own
+	Now       func() time.Time              // monotonic; default time.Now
+	Tenure    func() (d time.Time, ok bool) // deadline until which commands may be sent
+}
+
+// WorkerClient speaks the protocol of one worker under one epoch. Errors of kind
+// errkind.OutcomeUnknown mean that the command may have taken effect; every
+// other error means that it certainly has not.
+type WorkerClient struct {
+	cfg  WorkerConfig
+	http *http.Client
+
+	mu       sync.Mutex
+	answered time.Time // receipt of the last answer that stated the clock
+	clockMS  int64     // the clock of the worker in that answer
+}
+
+// NewWorkerClient returns a client for one worker.
+func NewWorkerClient(cfg WorkerConfig) *WorkerClient {
+	if cfg.Drift == 0 {
+		cfg.Drift = ClockDrift
+	}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = 2 * time.Second
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{
+			MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		}
+	}
+	return &WorkerClient{cfg: cfg, http: &http.Client{Transport: cfg.Transport}}
+}
+
+// Close closes idle connections.
+func (c *WorkerClient) Close() { c.http.CloseIdleConnections() }
+
+// bound returns the latest instant at which a command may take effect, in the
+// own clock and in that of the worker. It fails if the tenure has passed or the
+// clock of the worker is not known.
+func (c *WorkerClient) bound() (time.Time, int64, error) {
+	now := c.cfg.Now()
+	deadline, ok := c.cfg.Tenure()
+	if !ok || !now.Before(deadline) {
+		return time.Time{}, 0, errkind.New(errkind.NotOwner, ReasonTenure, "tenure has passed")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answered.IsZero() {
+		return time.Time{}, 0, errkind.New(errkind.NotReady, ReasonNotSent, "clock of worker %s is not known", c.cfg.Address)
+	}
+	left := float64(deadline.Sub(c.answered)) * (1 - c.cfg.Drift)
+	return deadline, c.clockMS + int64(left/float64(time.Millisecond)), nil
+}
+
+// Inventory reads the tasks of the worker and raises its epoch. It extends no lease.
+func (c *WorkerClient) Inventory(ctx context.Context) (RenewReply, error) {
+	if d, ok := c.cfg.Tenure(); !ok || !c.cfg.Now().Before(d) {
+		return RenewReply{}, errkind.New(errkind.NotOwner, ReasonTenure, "tenure has passed")
+	}
+	return c.renew(ctx, RenewRequest{Epoch: c.cfg.Epoch})
+}
+
+// Renew extends the lease of the worker and its tasks. effective is the latest
+// instant, in the own clock, from which the lease can run, also if err is not nil.
+func (c *WorkerClient) Renew(ctx context.Context, lease time.Duration) (r RenewReply, effective time.Time, err error) {
+	deadline, notAfter, err := c.bound()
+	if err != nil {
+		return RenewReply{}, time.Time{}, err
+	}
+	r, err = c.renew(ctx, RenewRequest{Epoch: c.cfg.Epoch, NotAfterMS: notAfter, LeaseMS: lease.Milliseconds()})
+	switch {
+	case err == nil:
+		// The worker set the lease before it answered.
+		if now := c.cfg.Now(); now.Before(deadline) {
+			deadline = now
+		}
+		return r, deadline, nil
+	case errkind.Of(err) == errkind.OutcomeUnknown:
+		return r, deadline, err
+	}
+	return r, time.Time{}, err
+}
+
+func (c *WorkerClient) renew(ctx context.Context, req RenewRequest) (RenewReply, error) {
+	var r RenewReply
+	if err := c.post(ctx, "/v1/renew", req, &r); err != nil {
+		return RenewReply{}, err
+	}
+	c.mu.Lock()
+	c.answered, c.clockMS = c.cfg.Now(), r.ClockMS
+	c.mu.Unlock()
+	return r, nil
+}
+
+// Start starts a task; it is idempotent on (task, attempt). notAfterMS is the
+// instant in the clock of the worker after which the command cannot take effect.
+func (c *WorkerClient) Start(ctx context.Context, t TaskStart) (notAfterMS int64, err error) {
+	_, notAfterMS, err = c.bound()
+	if err != nil {
+		return 0, err
+	}
+	return notAfterMS, c.post(ctx, "/v1/tasks", StartRequest{Epoch: c.cfg.Epoch, NotAfterMS: notAfterMS, Task: t}, nil)
+}
+
+// Stop stops, checkpoints, throttles or resumes a task.
+func (c *WorkerClient) Stop(ctx context.Context, ref TaskRef, mode StopMode) error {
+	_, notAfter, err := c.bound()
+	if err != nil {
+		return err
+	}
+	path := "/v1/tasks/" + url.PathEscape(ref.Task) + "/stop"
+	return c.post(ctx, path, StopRequest{Epoch: c.cfg.Epoch, NotAfterMS: notAfter, Attempt: ref.Attempt, Mode: mode}, nil)
+}
+
+// Ack lets the worker forget the results of ended tasks.
+func (c *WorkerClient) Ack(ctx context.Context, refs []TaskRef) error {
+	if _, _, err := c.bound(); err != nil {
+		return err
+	}
+	return c.post(ctx, "/v1/ack", AckRequest{Epoch: c.cfg.Epoch, Tasks: refs}, nil)
+}
+
+func (c *WorkerClient) post(ctx context.Context, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errkind.Wrap(errkind.InternalFailure, "encode", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.cfg.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return errkind.Wrap(errkind.InternalFailure, "encode", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	// A nil GetBody keeps the transport from sending the command a second time
+	// on a new connection by itself.
+	req.GetBody = nil
+	res, err := c.http.Do(req)
+	if err != nil {
+		return sendError(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxWorkerAnswerBytes+1))
+	if err != nil || len(data) > maxWorkerAnswerBytes {
+		return errkind.New(errkind.OutcomeUnknown, ReasonAnswerLost, "answer incomplete: %v", err)
+	}
+	if res.StatusCode == http.StatusOK {
+		if out == nil {
+			return nil
+		}
+		if err := json.Unmarshal(data, out); err != nil {
+			return errkind.Wrap(errkind.OutcomeUnknown, ReasonAnswerLost, err)
+		}
+		return nil
+	}
+	return refusal(res.StatusCode, data)
+}
+
+// sendError tells a connection that was never opened from an answer that was lost.
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errkind.Wrap(errkind.Unreachable, ReasonNotSent, err)
+	}
+	return errkind.Wrap(errkind.OutcomeUnknown, ReasonAnswerLost, err)
+}
+
+// refusal maps a 4xx answer to a certain refusal. A 5xx answer says nothing
+// about the effect of the command.
+func refusal(status int, data []byte) error {
+	if status < 400 || status >= 500 {
+		return errkind.New(errkind.OutcomeUnknown, ReasonAnswerLost, "status %d", status)
+	}
+	var r Refusal
+	if err := json.Unmarshal(data, &r); err != nil || r.Reason == "" {
+		r = Refusal{Reason: "refused", Detail: fmt.Sprintf("status %d", status)}
+	}
+	kind := errkind.Conflict
+	switch r.Reason {
+	case ReasonStaleEpoch:
+		kind = errkind.StaleEpoch
+	case ReasonNoCapacity:
+		kind = errkind.NoCapacity
+	case ReasonUnknownTask:
+		kind = errkind.NotFound
+	}
+	return errkind.New(kind, r.Reason, "worker refused: %s", r.Detail)
+}
