Add the sheet reader and the configuration stream, first whole

Planners need one file to become one change that every daemon folds alike. The sheet is read whole, checked, compared with the state and published as one change record; stores fold the stream and publishers accept only after read-back.

Ruled out: whole-sheet records (a sheet of which one row changed would cross the region link whole) and records that are accepted per entry (the design wants one winner per base). Records hold ops against a base and may carry many small changes.

Run: go test -race -count=1 ./config ./sheet passes, with both sample sheets published to a log in memory and folded by two stores.

--- /dev/null
+++ b/config/calendar.go
@@ -0,0 +1,140 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+	_ "time/tzdata" // the entry hosts may have no time zone database
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/workload"
+)
+
+// MaxGrace is the longest grace window. It bounds the dates that Desired inspects.
+const MaxGrace = 31 * 24 * time.Hour
+
+// Desired returns the jobs that the configuration wants at now, sorted by id:
+// services, gang jobs without a calendar, and the slots of batches and gang jobs
+// from their start until start + grace. The id derives from (team, name, local
+// date, slot), so that every daemon derives the same id for the same run.
+//
+// A slot that has left the list because its grace is over must not be started
+// any more, but a run of it that has started continues.
+func Desired(st *State, now time.Time, loc *time.Location) []workload.Job {
+	today := LocalDate(now, loc)
+	st = st.On(today)
+	var out []workload.Job
+	for _, it := range st.Intentions {
+		out = appendDue(out, it, now, today, loc)
+	}
+	for _, list := range st.Retired {
+		for _, it := range list {
+			out = appendDue(out, it, now, today, loc)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+func appendDue(out []workload.Job, it Intention, now time.Time, today string, loc *time.Location) []workload.Job {
+	if it.At == "" {
+		if it.Day <= today && it.Until == "" {
+			j := it.Job
+			j.ID = JobID(j.Team, it.Name, it.Day, "v"+strconv.FormatUint(uint64(it.Since), 10))
+			out = append(out, j)
+		}
+		return out
+	}
+	// Local dates can differ from the date of the instant by up to a day at a change of offset.
+	first := civil(now.Add(-it.Grace).In(loc)).AddDate(0, 0, -1)
+	last := civil(now.In(loc)).AddDate(0, 0, 1)
+	for d := first; !d.After(last); d = d.AddDate(0, 0, 1) {
+		date := d.Format(dateLayout)
+		if date < it.Day || it.Until != "" && date > it.Until || !onDay(it.Days, d) {
+			continue
+		}
+		start, err := SlotStart(date, it.At, loc)
+		if err != nil || start.After(now) || !now.Before(start.Add(it.Grace)) {
+			continue
+		}
+		j := it.Job
+		// There is one slot a day, whatever its time, so that moving a batch on the day of its run does not run it twice.
+		j.ID = JobID(j.Team, it.Name, date, "0")
+		j.Deadline, j.Grace = start, it.Grace
+		out = append(out, j)
+	}
+	return out
+}
+
+func civil(t time.Time) time.Time {
+	return time.Date(t.Year(), t.Month(), t.Day(), 0, 0, 0, 0, time.UTC)
+}
+
+func onDay(days []int, d time.Time) bool {
+	if len(days) == 0 || slices.Contains(days, d.Day()) {
+		return true
+	}
+	return slices.Contains(days, LastDay) && d.AddDate(0, 0, 1).Day() == 1
+}
+
+// JobID derives the id of one run. Length prefixes keep different tuples apart.
+func JobID(team, name, date, slot string) string {
+	h := sha256.New()
+	for _, s := range []string{team, name, date, slot} {
+		h.Write([]byte(strconv.Itoa(len(s)) + ":" + s))
+	}
+	return "plan-" + date + "-" + hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// SlotStart returns the instant of a local clock time on a date. A time that
+// occurs twice gives the first occurrence; a time that is skipped gives the end
+// of the gap.
+func SlotStart(date, at string, loc *time.Location) (time.Time, error) {
+	d, err := parseDate(date)
+	if err != nil {
+		return time.Time{}, errors.Wrap(err, "date")
+	}
+	hour, minute, err := parseClock(at)
+	if err != nil {
+		return time.Time{}, err
+	}
+	naive := d.Add(time.Duration(hour)*time.Hour + time.Duration(minute)*time.Minute)
+	// No offset exceeds 26 h, so these two are the offsets on both sides of a change near the time.
+	before := withOffsetAt(naive, naive.Add(-26*time.Hour), loc)
+	after := withOffsetAt(naive, naive.Add(26*time.Hour), loc)
+	var best time.Time
+	for _, t := range []time.Time{before, after} {
+		if sameClock(t.In(loc), naive) && (best.IsZero() || t.Before(best)) {
+			best = t
+		}
+	}
+	if !best.IsZero() {
+		return best.In(loc), nil
+	}
+	gapEnd, _ := before.In(loc).ZoneBounds()
+	return gapEnd.In(loc), nil
+}
+
+func withOffsetAt(naive, at time.Time, loc *time.Location) time.Time {
+	_, offset := at.In(loc).Zone()
+	return naive.Add(-time.Duration(offset) * time.Second)
+}
+
+func sameClock(t, naive time.Time) bool {
+	return t.Format("2006-01-02T15:04") == naive.Format("2006-01-02T15:04")
+}
+
+func parseClock(s string) (hour, minute int, err error) {
+	h, m, ok := strings.Cut(s, ":")
+	hour, herr := strconv.Atoi(h)
+	minute, merr := strconv.Atoi(m)
+	if !ok || len(h) != 2 || len(m) != 2 || herr != nil || merr != nil || hour < 0 || hour > 23 || minute < 0 || minute > 59 {
+		return 0, 0, errors.Errorf("clock time must be HH:MM, got %q", s)
+	}
+	return hour, minute, nil
+}
--- /dev/null
+++ b/config/metrics.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type storeMetrics struct {
+	records *prometheus.CounterVec // by result
+	images  *prometheus.CounterVec // by source and result
+	reads   prometheus.Counter
+	bytes   prometheus.Counter
+	version prometheus.Gauge
+}
+
+func newStoreMetrics(r prometheus.Registerer) (storeMetrics, error) {
+	m := storeMetrics{
+		records: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafraslb_config_records_total", Help: "Records of stream config folded, by result.",
+		}, []string{"result"}),
+		images: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafraslb_config_images_total", Help: "Images offered by snapshots and peers, by result.",
+		}, []string{"source", "result"}),
+		reads: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sassafraslb_config_reads_total", Help: "Reads of stream config.",
+		}),
+		bytes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sassafraslb_config_read_bytes_total", Help: "Bytes of records read from stream config.",
+		}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sassafraslb_config_version", Help: "Version of the configuration in force.",
+		}),
+	}
+	return m, register(r, m.records, m.images, m.reads, m.bytes, m.version)
+}
+
+type publisherMetrics struct {
+	results *prometheus.CounterVec // by result
+	appends prometheus.Counter
+	bytes   prometheus.Counter
+}
+
+func newPublisherMetrics(r prometheus.Registerer) (publisherMetrics, error) {
+	m := publisherMetrics{
+		results: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafraslb_config_changes_total", Help: "Submitted changes, by result or reason of refusal.",
+		}, []string{"result"}),
+		appends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sassafraslb_config_appends_total", Help: "Appends of change records, repeats included.",
+		}),
+		bytes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sassafraslb_config_append_bytes_total", Help: "Bytes of appended change records.",
+		}),
+	}
+	return m, register(r, m.results, m.appends, m.bytes)
+}
+
+func register(r prometheus.Registerer, cs ...prometheus.Collector) error {
+	if r == nil {
+		return nil
+	}
+	for _, c := range cs {
+		if err := r.Register(c); err != nil {
+			return errors.Wrap(err, "register metrics")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/config/publisher.go
@@ -0,0 +1,267 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/platform"
+)
+
+// PublisherConfig configures a Publisher.
+type PublisherConfig struct {
+	Store *Store       // required; must be running
+	Log   platform.Log // required; appends go to it
+	// Linger is how long the first proposal of a batch waits for others. Default 20 ms.
+	Linger time.Duration
+	// MaxBatch is the largest number of proposals in one record. Default 512.
+	MaxBatch int
+	// MaxOps is the number of ops from which a record takes no further proposals. Default 2,000.
+	MaxOps int
+	// AppendTimeout bounds one append. Default 2 s.
+	AppendTimeout time.Duration
+	// RepeatAfter is the wait for read-back after an append whose answer was lost;
+	// then the same record is appended again. Default 500 ms.
+	RepeatAfter time.Duration
+	// SettleTimeout bounds append and read-back; after it the outcome is append_unknown. Default 10 s.
+	SettleTimeout time.Duration
+	// MaxRounds bounds how often a proposal is put on a new base after other
+	// changes won. Default 64.
+	MaxRounds  int
+	Logger     zerolog.Logger
+	Registerer prometheus.Registerer // nil registers nothing
+}
+
+func (c PublisherConfig) withDefaults() PublisherConfig {
+	setDefault(&c.Linger, 20*time.Millisecond)
+	setDefault(&c.MaxBatch, 512)
+	setDefault(&c.MaxOps, 2000)
+	setDefault(&c.AppendTimeout, 2*time.Second)
+	setDefault(&c.RepeatAfter, 500*time.Millisecond)
+	setDefault(&c.SettleTimeout, 10*time.Second)
+	setDefault(&c.MaxRounds, 64)
+	return c
+}
+
+// Publisher appends proposals to the log and accepts them only after the store
+// has read them back. Proposals that arrive together share a record.
+type Publisher struct {
+	cfg     PublisherConfig
+	metrics publisherMetrics
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	queue  []*pending
+	closed bool
+}
+
+type pending struct {
+	Proposal
+	ctx    context.Context
+	rounds int
+	done   chan decided
+}
+
+// NewPublisher returns a Publisher. Run must be running for Submit to make progress.
+func NewPublisher(cfg PublisherConfig) (*Publisher, error) {
+	if cfg.Store == nil || cfg.Log == nil {
+		return nil, errkind.New(errkind.BadInput, "config_publisher", "Store and Log are required")
+	}
+	m, err := newPublisherMetrics(cfg.Registerer)
+	if err != nil {
+		return nil, err
+	}
+	return &Publisher{cfg: cfg.withDefaults(), metrics: m, wake: make(chan struct{}, 1)}, nil
+}
+
+// Submit publishes p and returns when it is in force on this daemon, or refused.
+// The error kinds are bad_input, conflict (see WinnerOf), not_ready,
+// log_unavailable and overloaded, which mean that p has no effect; and
+// append_unknown, which a repeat with the same ID settles.
+func (p *Publisher) Submit(ctx context.Context, prop Proposal) (Result, error) {
+	res, err := p.submit(ctx, prop)
+	p.metrics.results.WithLabelValues(resultLabel(res, err)).Inc()
+	return res, err
+}
+
+func resultLabel(res Result, err error) string {
+	switch {
+	case err != nil:
+		return errkind.ReasonOf(err)
+	case res.NoChange:
+		return "no_change"
+	case res.Repeated:
+		return "repeated"
+	}
+	return "accepted"
+}
+
+func (p *Publisher) submit(ctx context.Context, prop Proposal) (Result, error) {
+	if err := prop.validate(); err != nil {
+		return Result{}, err
+	}
+	if err := p.cfg.Store.Ready(); err != nil {
+		return Result{}, err
+	}
+	if prop.Day == "" {
+		prop.Day = p.today(p.cfg.Store.Current())
+	}
+	w := &pending{Proposal: prop, ctx: ctx, done: make(chan decided, 1)}
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return Result{}, errkind.New(errkind.Draining, "publisher_stopped", "the publisher has stopped")
+	}
+	p.queue = append(p.queue, w)
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case d := <-w.done:
+		return d.res, d.err
+	case <-ctx.Done():
+		return Result{}, errkind.New(errkind.AppendUnknown, "submit_cancelled", "the change may still take effect: %v", ctx.Err())
+	}
+}
+
+func (p *Publisher) today(st *State) string {
+	cfg := p.cfg.Store.cfg
+	return max(st.Today, LocalDate(cfg.Now(), cfg.Location))
+}
+
+// Run publishes queued proposals until ctx ends.
+func (p *Publisher) Run(ctx context.Context) error {
+	defer p.close()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.wake:
+		}
+		sleep(ctx, p.cfg.Linger)
+		for batch := p.take(); len(batch) > 0 && ctx.Err() == nil; batch = append(batch, p.take()...) {
+			batch = p.round(ctx, batch)
+		}
+	}
+}
+
+func (p *Publisher) take() []*pending {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.queue
+	p.queue = nil
+	return out
+}
+
+func (p *Publisher) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	for _, w := range p.take() {
+		w.done <- decided{err: errkind.New(errkind.Draining, "publisher_stopped", "the publisher has stopped")}
+	}
+}
+
+// round publishes one record and returns the proposals that are still open.
+func (p *Publisher) round(ctx context.Context, batch []*pending) []*pending {
+	im, ready := p.cfg.Store.Image()
+	if !ready {
+		for _, w := range batch {
+			w.done <- decided{err: p.cfg.Store.Ready()}
+		}
+		return nil
+	}
+	g := p.group(im, batch)
+	if len(g.members) == 0 {
+		return g.rest
+	}
+	f, err := p.commit(ctx, g.rec)
+	switch {
+	case err != nil:
+		g.answer(decided{err: err})
+	case f.accepted:
+		p.cfg.Logger.Info().Str("event", "config_accepted").Uint64("version", uint64(f.version)).Int("changes", len(g.members)).Msg("")
+		g.answer(decided{res: Result{Version: f.version}})
+	case !f.known:
+		g.answer(decided{err: errkind.New(errkind.AppendUnknown, "history_passed", "too many changes followed to tell whether this one was among them")})
+	default:
+		return append(p.beaten(ctx, g), g.rest...)
+	}
+	return g.rest
+}
+
+// beaten returns the members to be put on the new base.
+func (p *Publisher) beaten(ctx context.Context, g group) []*pending {
+	var again []*pending
+	for _, w := range g.members {
+		if w.rounds++; w.rounds < p.cfg.MaxRounds {
+			again = append(again, w)
+		} else {
+			w.done <- decided{err: errkind.New(errkind.Overloaded, "base_contended", "other changes won %d times", w.rounds)}
+		}
+	}
+	if len(again) > 0 && again[0].rounds > 1 {
+		sleep(ctx, rand.N(p.cfg.Linger))
+	}
+	return again
+}
+
+// commit appends rec until its fate is certain or SettleTimeout has passed.
+// Appending the same record again is safe: the fold accepts a base only once.
+func (p *Publisher) commit(ctx context.Context, rec changeRecord) (fate, error) {
+	data, err := encodeChange(rec)
+	if err != nil {
+		return fate{}, errkind.Wrap(errkind.BadInput, "encode", err)
+	}
+	id := rec.Parts[0].ID
+	settled := p.cfg.Store.await(id, rec.Base)
+	defer p.cfg.Store.forget(id)
+	deadline := time.NewTimer(p.cfg.SettleTimeout)
+	defer deadline.Stop()
+	sent := false // the record may be in the log
+	for {
+		appended, err := p.append(ctx, data)
+		if err != nil && !sent && !maybeAppended(err) {
+			return fate{}, errkind.Wrap(errkind.LogUnavailable, "append_failed", err)
+		}
+		sent = sent || err == nil || maybeAppended(err)
+		var repeat <-chan time.Time
+		if !appended {
+			t := time.NewTimer(p.cfg.RepeatAfter)
+			defer t.Stop()
+			repeat = t.C
+		}
+		select {
+		case f := <-settled:
+			return f, nil
+		case <-repeat:
+		case <-deadline.C:
+			return fate{}, errkind.New(errkind.AppendUnknown, "not_read_back", "the change was not read back within %s", p.cfg.SettleTimeout)
+		case <-ctx.Done():
+			return fate{}, errkind.New(errkind.AppendUnknown, "publisher_stopped", "the publisher stopped before read-back")
+		}
+	}
+}
+
+func (p *Publisher) append(ctx context.Context, data []byte) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.AppendTimeout)
+	defer cancel()
+	p.metrics.appends.Inc()
+	p.metrics.bytes.Add(float64(len(data)))
+	_, err := p.cfg.Log.Append(ctx, platform.StreamConfig, [][]byte{data})
+	return err == nil, err
+}
+
+// maybeAppended reports errors after which the record may be in the log. An
+// error without a kind counts, because it may come from after the sending.
+func maybeAppended(err error) bool {
+	k := errkind.Of(err)
+	return k == errkind.AppendUnknown || k == errkind.InternalFailure || k == errkind.Cancelled
+}
--- /dev/null
+++ b/config/publisher_test.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+// Guards against a change that is answered before every reader would accept it,
+// and against readers that fold the same stream to different states.
+func TestChangeReachesEveryStore(t *testing.T) {
+	l := newFakeLog()
+	a, b := startDaemon(t, l, nil).awaitReady(t), startDaemon(t, l, nil).awaitReady(t)
+	res := a.submit(t, proposal("1", 0, Strict, teamOp("a", 4)))
+	if a.Current().Version != res.Version || a.Current().Teams["a"].Quota.CPUMilli != 4000 {
+		t.Fatalf("accepted, but the publisher's daemon has %+v", a.Current())
+	}
+	b.awaitVersion(t, res.Version)
+	if b.Current().Teams["a"] != a.Current().Teams["a"] {
+		t.Fatal("stores differ")
+	}
+}
+
+// Guards against two winners on one base, and against losers that are not told who won.
+func TestOperatorsRaceOneWinner(t *testing.T) {
+	for _, operators := range []int{2, 5} {
+		for _, mode := range []Mode{Strict, Sheet, Merge} {
+			l := newFakeLog()
+			results := make([]error, operators)
+			var wg sync.WaitGroup
+			for i := range operators {
+				d := startDaemon(t, l, nil).awaitReady(t)
+				wg.Go(func() {
+					p := proposal(fmt.Sprint("op", i), 0, mode, teamOp("a", int64(i+1)))
+					p.By = fmt.Sprint("operator ", i)
+					_, results[i] = d.pub.Submit(context.Background(), p)
+				})
+			}
+			wg.Wait()
+			d := startDaemon(t, l, nil).awaitReady(t)
+			history := d.History(10)
+			if len(history) != 1 {
+				t.Fatalf("%d operators, mode %d: %d changes accepted, want 1", operators, mode, len(history))
+			}
+			for i, err := range results {
+				won := history[0].ID == fmt.Sprint("op", i)
+				winner, told := WinnerOf(err)
+				if won != (err == nil) || !won && (!told || winner.ID != history[0].ID || errkind.Of(err) != errkind.Conflict) {
+					t.Errorf("%d operators, mode %d: operator %d won=%t, answer %v", operators, mode, i, won, err)
+				}
+			}
+		}
+	}
+}
+
+// Guards against small changes of different entries beating each other, which
+// would make an operator's change fail at every tick of the others.
+func TestMergeOfDifferentEntries(t *testing.T) {
+	l := newFakeLog()
+	const daemons, each = 4, 25
+	var wg sync.WaitGroup
+	for i := range daemons {
+		d := startDaemon(t, l, nil).awaitReady(t)
+		for j := range each {
+			wg.Go(func() {
+				name := fmt.Sprintf("t%d-%d", i, j)
+				if _, err := d.pub.Submit(context.Background(), proposal(name, 0, Merge, teamOp(name, 1))); err != nil {
+					t.Errorf("%s: %v", name, err)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	if d := startDaemon(t, l, nil).awaitReady(t); len(d.Current().Teams) != daemons*each {
+		t.Fatalf("%d teams, want %d", len(d.Current().Teams), daemons*each)
+	}
+}
+
+// Guards against a repeated sheet that makes a version, and against a repeated id that is run again.
+func TestSameContentOrSameIDMakesNoChange(t *testing.T) {
+	d := startDaemon(t, newFakeLog(), nil).awaitReady(t)
+	first := d.submit(t, proposal("1", 0, Sheet, teamOp("a", 4)))
+	if res := d.submit(t, proposal("2", 0, Sheet, teamOp("a", 4))); !res.NoChange || res.Version != first.Version {
+		t.Fatalf("same content gave %+v", res)
+	}
+	d.submit(t, proposal("3", first.Version, Strict, teamOp("a", 5)))
+	if res := d.submit(t, proposal("1", 0, Sheet, teamOp("a", 4))); !res.Repeated || res.Version != first.Version {
+		t.Fatalf("same id gave %+v", res)
+	}
+	if d.Current().Teams["a"].Quota.CPUMilli != 5000 || len(d.History(10)) != 2 {
+		t.Fatal("a repeat changed the configuration")
+	}
+}
--- a/config/types.go
+++ b/config/types.go
@@ -44,16 +44,31 @@
 type Intention struct {
 	Name  string        `json:"name"`            // unique within the team
 	Job   workload.Job  `json:"job"`             // ID is filled in when the job is due
-	Days  []int         `json:"days,omitempty"`  // days of the month for batches; empty means every day
+	Days  []int         `json:"days,omitempty"`  // days of the month for batches; empty means every day, LastDay the last day
 	At    string        `json:"at,omitempty"`    // local start time "HH:MM" of a batch
 	Day   string        `json:"day"`             // first local date it holds, "2006-01-02"
 	Grace time.Duration `json:"grace,omitempty"` // window after the start in which a late batch still counts
+	Until string        `json:"until,omitempty"` // last local date it holds; set only for retired intentions
+	Since Version       `json:"since,omitempty"` // version that introduced this job; part of the id of a service
 }
 
+// LastDay in Intention.Days means the last day of the month.
+const LastDay = -1
+
 // Drain takes a machine, rack or zone out of use.
 type Drain struct {
 	Target string `json:"target"` // host id, "rack/<zone>/<rack>" or "zone/<zone>"
 	Reason string `json:"reason"`
+	// Operator marks a drain that was set outside a sheet. Sheets do not remove it.
+	Operator bool `json:"operator,omitempty"`
+}
+
+// Content is what a change edits: the entries of one day.
+type Content struct {
+	Customers  map[string]Customer  `json:"customers"`
+	Teams      map[string]Team      `json:"teams"`
+	Intentions map[string]Intention `json:"intentions"`
+	Drains     map[string]Drain     `json:"drains"`
 }
 
 // State is the configuration in force. It is immutable once published.
@@ -63,6 +78,12 @@
 	Teams      map[string]Team      `json:"teams"`
 	Intentions map[string]Intention `json:"intentions"` // by "team/name"
 	Drains     map[string]Drain     `json:"drains"`     // by target
+	// Today is the latest local date of any accepted change. Plans up to it are part of the fields above.
+	Today string `json:"today,omitempty"`
+	// Plans holds the whole content of later days, by local date.
+	Plans map[string]Content `json:"plans,omitempty"`
+	// Retired holds replaced or removed intentions with a calendar, by "team/name", while a slot may be in grace.
+	Retired map[string][]Intention `json:"retired,omitempty"`
 }
 
 // View gives the configuration in force to the other packages.
