--- a/placement/config.go
+++ b/placement/config.go
@@ -71,7 +71,7 @@
 	def(&c.BackoffMax, time.Minute)
 	def(&c.RejectBase, 20*time.Millisecond)
 	def(&c.ImpossibleGrace, time.Minute)
-	def(&c.ReserveAfter, 2*time.Second)
+	def(&c.ReserveAfter, 30*time.Second)
 	def(&c.Reservations, 4)
 	def(&c.ReclaimAfter, 5*time.Second)
 	def(&c.MinSamples, 20)
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -11,8 +11,13 @@
 type familyKey struct{ team, name string }
 
 // family is what was learned about the jobs of one family.
+//
+// Sizes are learned as a share of the declaration, because the jobs of a family
+// often differ in size while their declarations are wrong by a similar factor.
+// Run times are learned as a share where one was declared, else in milliseconds.
 type family struct {
-	cpu, memory, run histogram
+	cpu, memory      histogram // permille of the declared size
+	runShare, runAbs histogram
 	shapes           []*shape
 	fresh            int // reports since the estimates were last applied
 }
@@ -52,13 +57,15 @@
 		return
 	}
 	if r.State == workload.Finished || r.State == workload.Failed {
-		if peak.CPUMilli > 0 && peak.MemoryMiB > 0 {
-			f.cpu.add(float64(peak.CPUMilli))
-			f.memory.add(float64(peak.MemoryMiB))
-		}
+		f.cpu.addShare(peak.CPUMilli, t.job.spec.Resources.CPUMilli)
+		f.memory.addShare(peak.MemoryMiB, t.job.spec.Resources.MemoryMiB)
 	}
 	if r.State == workload.Finished && r.Ran > 0 && t.job.spec.Kind != workload.Service {
-		f.run.add(r.Ran.Seconds() * 1000)
+		if declared := t.job.spec.RunTime; declared > 0 {
+			f.runShare.addShare(int64(r.Ran), int64(declared))
+		} else {
+			f.runAbs.add(r.Ran.Seconds() * 1000)
+		}
 	}
 	if f.fresh++; f.fresh >= applyEvery {
 		f.fresh = 0
@@ -83,17 +90,17 @@
 // size returns the learned size of a task, and false while it is unknown.
 // Accelerators are whole devices and are never learned.
 func (f *family) size(c *Config, declared machine.Resources) (machine.Resources, bool) {
-	if f.cpu.count < c.MinSamples {
+	if f.cpu.count < c.MinSamples && f.memory.count < c.MinSamples {
 		return machine.Resources{}, false
 	}
 	est := func(h *histogram, declared int64) int64 {
-		v := int64(math.Ceil(h.percentile(c.SizePercentile) * (1 + c.SizeMargin)))
-		// A dimension that was not declared stays unclaimed; a very small estimate
-		// is raised, because reports of short tasks miss their peaks.
-		if declared <= 0 {
+		if declared <= 0 || h.count < c.MinSamples {
 			return declared
 		}
-		return max(v, declared/minLearned, 1)
+		share := h.percentile(c.SizePercentile) * (1 + c.SizeMargin) / 1000
+		// A very small estimate is raised, because reports of short tasks miss
+		// their peaks.
+		return max(int64(math.Ceil(share*float64(declared))), declared/minLearned, 1)
 	}
 	return machine.Resources{
 		CPUMilli: est(&f.cpu, declared.CPUMilli), MemoryMiB: est(&f.memory, declared.MemoryMiB),
@@ -104,17 +111,22 @@
 // minLearned is the divisor of the declared size below which no estimate goes.
 const minLearned = 10
 
-func (f *family) runTime(c *Config) (time.Duration, bool) {
-	if f.run.count < c.MinSamples {
+// runTime returns the learned run time of a task, and false while it is unknown.
+func (f *family) runTime(c *Config, declared time.Duration) (time.Duration, bool) {
+	h, unit := &f.runAbs, float64(time.Millisecond)
+	if declared > 0 {
+		h, unit = &f.runShare, float64(declared)/1000
+	}
+	if h.count < c.MinSamples {
 		return 0, false
 	}
-	return time.Duration(f.run.percentile(c.RunPercentile) * (1 + c.RunMargin) * float64(time.Millisecond)), true
+	return time.Duration(h.percentile(c.RunPercentile) * (1 + c.RunMargin) * unit), true
 }
 
 // expected returns the learned, else the declared run time of a job.
 func (e *Engine) expected(spec *workload.Job) time.Duration {
 	if f := e.families[familyKey{spec.Team, spec.Family}]; f != nil && !e.cfg.NoLearning {
-		if run, ok := f.runTime(&e.cfg); ok {
+		if run, ok := f.runTime(&e.cfg, spec.RunTime); ok {
 			return run
 		}
 	}
@@ -143,6 +155,13 @@
 	decayStep = math.Exp2(1.0 / halfLife)
 )
 
+// addShare adds v as permille of declared, if both are known.
+func (h *histogram) addShare(v, declared int64) {
+	if v > 0 && declared > 0 {
+		h.add(1000 * float64(v) / float64(declared))
+	}
+}
+
 func (h *histogram) add(v float64) {
 	if h.next == 0 {
 		h.next = 1
--- a/placement/shape.go
+++ b/placement/shape.go
@@ -76,7 +76,7 @@
 	if s.fam == nil || e.cfg.NoLearning {
 		return
 	}
-	if run, ok := s.fam.runTime(&e.cfg); ok {
+	if run, ok := s.fam.runTime(&e.cfg, s.runTime); ok {
 		s.run = run
 	}
 	if !s.learn {
