--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,213 @@
+// Package client is the HTTP client of the daemons. It tries the daemons one
+// after another; every call that changes something carries an id of its own, so
+// that a repeat through another daemon is safe.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+// maxAnswer bounds what is read of an answer. It is above the largest answer of an executor.
+const maxAnswer = 80 << 20
+
+// Config configures a Client.
+type Config struct {
+	// Servers are the base URLs of daemons, for example "http://10.0.0.5:8080". Required.
+	Servers []string
+	// Timeout of one attempt. Default 15 s.
+	Timeout time.Duration
+	// RetryFor is how long calls that certainly did not run are repeated. Default 0, no repeat.
+	RetryFor time.Duration
+	// Backoff is the pause before the first repeat; it doubles up to 2 s. Default 100 ms.
+	Backoff time.Duration
+	// HTTP sends the requests. Default: a client of its own.
+	HTTP *http.Client
+}
+
+// Client calls daemons. It is safe for concurrent use.
+type Client struct{ cfg Config }
+
+// New returns a Client, or an error if a server is not a URL.
+func New(cfg Config) (*Client, error) {
+	if len(cfg.Servers) == 0 {
+		return nil, errors.New("no server given")
+	}
+	for _, s := range cfg.Servers {
+		if u, err := url.Parse(s); err != nil || u.Host == "" {
+			return nil, errors.Errorf("server must be a URL such as http://10.0.0.5:8080, got %q", s)
+		}
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = 15 * time.Second
+	}
+	if cfg.Backoff <= 0 {
+		cfg.Backoff = 100 * time.Millisecond
+	}
+	if cfg.HTTP == nil {
+		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	}
+	return &Client{cfg: cfg}, nil
+}
+
+// Error is the answer of a daemon that refused or failed a call.
+type Error struct {
+	Status  int             `json:"status"`
+	Kind    errkind.Kind    `json:"kind"`
+	Reason  string          `json:"reason"`
+	Outcome errkind.Outcome `json:"outcome"`
+	Retry   errkind.Retry   `json:"retry"`
+	Detail  string          `json:"detail"`
+	Request string          `json:"request_id,omitempty"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s), outcome %s: %s", e.Kind, e.Reason, e.Outcome, e.Detail)
+}
+
+// NoAnswerError tells that no daemon answered.
+type NoAnswerError struct {
+	Tried []string // one line per daemon
+	// Sent tells that at least one daemon may have received the call.
+	Sent bool
+}
+
+// Error implements error.
+func (e *NoAnswerError) Error() string {
+	return "no daemon answered:\n  " + strings.Join(e.Tried, "\n  ")
+}
+
+// Request is one call.
+type Request struct {
+	Method string
+	Path   string // with query
+	Header http.Header
+	Body   []byte
+}
+
+// Response is a successful answer.
+type Response struct {
+	Header http.Header
+	Body   []byte
+	Server string // daemon that answered
+}
+
+// Do sends r to the daemons in turn until one answers. It repeats answers that
+// say that nothing ran, within Config.RetryFor. The call must be idempotent.
+func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
+	end := time.Now().Add(c.cfg.RetryFor)
+	for pause := c.cfg.Backoff; ; pause = min(2*pause, 2*time.Second) {
+		resp, err := c.round(ctx, r)
+		if err == nil || !retryable(err) || time.Now().Add(pause).After(end) {
+			return resp, err
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil, err
+		case <-t.C:
+		}
+	}
+}
+
+// retryable reports whether a repeat of the same call is safe and may help.
+func retryable(err error) bool {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Retry != errkind.RetryNever
+	}
+	var none *NoAnswerError
+	return errors.As(err, &none)
+}
+
+// round tries each daemon once, until one answers.
+func (c *Client) round(ctx context.Context, r Request) (*Response, error) {
+	none := &NoAnswerError{}
+	for _, server := range c.cfg.Servers {
+		resp, sent, err := c.attempt(ctx, server, r)
+		var refusal *Error
+		if err == nil || errors.As(err, &refusal) {
+			return resp, err
+		}
+		none.Sent = none.Sent || sent
+		none.Tried = append(none.Tried, err.Error())
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, none
+}
+
+// attempt sends r to one daemon. sent tells that the daemon may have received it.
+func (c *Client) attempt(ctx context.Context, server string, r Request) (resp *Response, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, r.Method, strings.TrimRight(server, "/")+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, false, err
+	}
+	for k, v := range r.Header {
+		req.Header[k] = v
+	}
+	if r.Body != nil && req.Header.Get("Content-Type") == "" {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	answer, err := c.cfg.HTTP.Do(req)
+	if err != nil {
+		return nil, true, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return nil, true, errors.Wrap(err, server)
+	}
+	if answer.StatusCode >= 400 {
+		return nil, true, refusal(server, answer.StatusCode, body)
+	}
+	return &Response{Header: answer.Header, Body: body, Server: server}, true, nil
+}
+
+// refusal decodes an error answer. One that is not of a daemon is no answer.
+func refusal(server string, status int, body []byte) error {
+	var e Error
+	if json.Unmarshal(body, &e) != nil || e.Kind == "" {
+		return errors.Errorf("%s: status %d, not the answer of a daemon", server, status)
+	}
+	return &e
+}
+
+// Call sends in as JSON (nil sends no body) and decodes the answer into out (nil ignores it).
+func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
+	r := Request{Method: method, Path: path}
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		r.Body = body
+	}
+	resp, err := c.Do(ctx, r)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(resp.Body, out); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
--- a/contract/hosts.go
+++ b/contract/hosts.go
@@ -43,7 +43,9 @@
 }
 
 // publishMembers tells Members the daemons of the host list and of the join
-// records. A join record is newer than the list, which lags.
+// records. A join record is newer than the list, which lags; but the address of a
+// listed daemon is that of the list, because the platform may route regions
+// to a daemon differently.
 func (c *Claimer) publishMembers() {
 	known := make(map[string]link.Member)
 	for id, m := range c.hosts {
@@ -51,6 +53,9 @@
 	}
 	for id, d := range c.book.daemons {
 		m := link.Member{ID: id, Address: d.Address, Zone: d.Zone, Region: d.Region}
+		if listed, ok := c.hosts[id]; ok {
+			m.Address = listed.Address
+		}
 		if d.Left {
 			m.State = link.Left
 		}
--- /dev/null
+++ b/link/count.go
@@ -0,0 +1,13 @@
+package link
+
+import (
+	"net"
+
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// Count returns conn with its bytes counted at distance d. It serves connections
+// that are not between daemons, such as those to the log.
+func (c *Counters) Count(conn net.Conn, d zone.Distance) net.Conn {
+	return &countedConn{Conn: conn, counters: c, distance: d}
+}
