Show the job path under failures of owners, workers and the log

Tests provoke a killed, a paused and a partitioned rack owner, a replaced job scheduler, an unreachable worker whose lease lapses, lost answers of workers and of the log, a log outage, competing gangs, preemption, a wave of 2,000 cancellations, retention and changed intentions. The checker reads the workers' own records.

Carrying records forward failed at first with a small retention: the job was forgotten after 200 records, because the loop looked only every 10 s. Ruled out: a lost append, since no carried record was written at all.

--- a/job/carry.go
+++ b/job/carry.go
@@ -5,31 +5,53 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/platform"
 )
 
-// carryBatch bounds the records that are carried forward in one append.
-const carryBatch = 64
+const (
+	// carryBatch bounds the records that are carried forward in one append.
+	carryBatch = 64
+	// carryPoll is how often the position of the log is looked at.
+	carryPoll = 50 * time.Millisecond
+	// carryParts divides what the log keeps: after each part, records in the older
+	// half are carried, which leaves several tries before they are dropped.
+	carryParts = 8
+)
 
-// carryLoop appends the records of jobs anew before the log drops them.
+// carryLoop appends the records of jobs anew before the log drops them. It looks
+// through the jobs when time has passed or a part of what the log keeps was
+// written since.
 func (sh *shard) carryLoop() {
-	every := min(max(sh.s.cfg.CarryAfter/20, 50*time.Millisecond), 10*time.Second)
-	for sleep(sh.ctx, every) {
-		for sh.tenure() {
-			bodies := sh.due()
-			if len(bodies) == 0 {
-				break
-			}
-			ctx, cancel := context.WithTimeout(sh.ctx, 10*time.Second)
-			err := sh.journal.appendAll(ctx, recordCarried, bodies)
-			cancel()
-			if err != nil {
-				sh.s.counts.inc("carry_failed", errkind.ReasonOf(err))
-				break
-			}
-			sh.s.counts.add("carried", "", len(bodies))
-			if len(bodies) < carryBatch {
-				break
-			}
+	every := min(sh.s.cfg.CarryAfter/20, 10*time.Second)
+	var last time.Time
+	var seen platform.Offset
+	for sleep(sh.ctx, carryPoll) {
+		oldest, next := sh.journal.position()
+		moved := oldest > 0 && next-seen > (next-oldest)/carryParts
+		if now := sh.s.cfg.Now(); sh.tenure() && (moved || now.Sub(last) >= every) {
+			sh.carry()
+			last, seen = now, next
+		}
+	}
+}
+
+// carry appends the records that are due.
+func (sh *shard) carry() {
+	for sh.tenure() {
+		bodies := sh.due()
+		if len(bodies) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(sh.ctx, 10*time.Second)
+		err := sh.journal.appendAll(ctx, recordCarried, bodies)
+		cancel()
+		if err != nil {
+			sh.s.counts.inc("carry_failed", errkind.ReasonOf(err))
+			return
+		}
+		sh.s.counts.add("carried", "", len(bodies))
+		if len(bodies) < carryBatch {
+			return
 		}
 	}
 }
--- /dev/null
+++ b/job/faults_test.go
@@ -0,0 +1,317 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/standin"
+	"github.com/sassafraslb/sassafraslb/machine"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/workload"
+)
+
+// Guards against a start that is taken for failed, and repeated elsewhere,
+// because the worker's answer was lost after the effect.
+func TestWorkerAnswersLost(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	for _, w := range c.workers {
+		w.SetFaults(standin.Faults{LoseAnswers: 3})
+	}
+	d := c.daemons[0]
+	service := testJob("service", workload.Service, 6, 500, 0)
+	batch := testJob("batch", workload.Batch, 40, 250, 50*time.Millisecond)
+	c.submit(d, service)
+	c.submit(d, batch)
+	c.awaitState(d, batch, Finished)
+	c.awaitRunning(d, service, 6)
+	c.finishedOnce([]workload.Job{batch})
+	c.check()
+	if n := len(c.records()); n != 46 {
+		t.Errorf("46 tasks were started %d times", n)
+	}
+}
+
+// Guards against a job that is accepted twice, or answered as not accepted,
+// because the answer of an append was lost.
+func TestLogAnswersLost(t *testing.T) {
+	c := newCell(t, 2, 1, 2)
+	c.submit(c.daemons[0], testJob("first", workload.Batch, 1, 100, time.Millisecond))
+	c.log.set(func(l *memLog) { l.lose = 5 })
+	j := testJob("second", workload.Batch, 3, 100, 10*time.Millisecond)
+	if _, err := c.daemons[0].sched.Submit(context.Background(), j); err != nil {
+		t.Fatalf("submit with a lost answer: %v", err)
+	}
+	if _, err := c.daemons[0].sched.Submit(context.Background(), j); err != nil {
+		t.Fatalf("repeated submit: %v", err)
+	}
+	other := j
+	other.Count = 4
+	if _, err := c.daemons[0].sched.Submit(context.Background(), other); errkind.Of(err) != errkind.Conflict {
+		t.Errorf("submit of another job with the same id: %v", err)
+	}
+	c.awaitState(c.daemons[0], j, Finished)
+	c.finishedOnce([]workload.Job{j})
+	c.check()
+}
+
+// Guards against a job that is answered as accepted, or runs, although the log
+// is down, and against running jobs that stop with the log.
+func TestLogDown(t *testing.T) {
+	c := newCell(t, 2, 1, 2)
+	d := c.daemons[0]
+	batch := testJob("batch", workload.Batch, 20, 1000, 100*time.Millisecond)
+	c.submit(d, batch)
+	c.log.set(func(l *memLog) { l.down = true })
+	refused := testJob("refused", workload.Batch, 1, 100, time.Millisecond)
+	if _, err := d.sched.Submit(context.Background(), refused); errkind.Of(err) != errkind.LogUnavailable {
+		t.Errorf("submit while the log is down: %v", err)
+	}
+	eventually(t, "the batch runs on without the log", func() bool {
+		n := 0
+		for _, r := range c.records() {
+			if r.State == workload.Finished {
+				n++
+			}
+		}
+		return n == batch.Count
+	})
+	c.log.set(func(l *memLog) { l.down = false })
+	c.awaitState(d, batch, Finished)
+	for _, r := range c.records() {
+		if r.Job == refused.ID {
+			t.Errorf("a job that was not accepted ran on %s", r.Worker)
+		}
+	}
+	// The ends that were known during the outage are in the log now.
+	c.reg.give(c.daemons[0], testTakeover, c.shard())
+	c.awaitState(d, batch, Finished)
+	c.finishedOnce([]workload.Job{batch})
+	c.check()
+}
+
+// Guards against two gangs that hold parts of the same racks and wait for each
+// other, and against a gang that starts in part.
+func TestGangsCompete(t *testing.T) {
+	c := newCell(t, 3, 3, 2)
+	d := c.daemons[0]
+	// Each gang needs two thirds of the cell, so that only one can run.
+	var gangs []workload.Job
+	var wg sync.WaitGroup
+	for i := range 4 {
+		g := testJob(fmt.Sprintf("gang-%d", i), workload.Gang, 16, 1000, 150*time.Millisecond)
+		gangs = append(gangs, g)
+		wg.Go(func() { c.submit(d, g) })
+	}
+	wg.Wait()
+	for _, g := range gangs {
+		c.awaitState(d, g, Finished)
+	}
+	c.finishedOnce(gangs)
+	c.check()
+}
+
+// Guards against a gang that starts in part when one of its racks refuses, and
+// against resources that stay reserved for it.
+func TestGangWholeOrNotAtAll(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	d := c.daemons[0]
+	c.submit(d, testJob("warm", workload.Batch, 1, 100, time.Millisecond))
+	c.awaitState(d, testJob("warm", workload.Batch, 1, 100, time.Millisecond), Finished)
+	// The workers of rack b answer nothing from now on; the scheduler does not
+	// know it yet when it proposes.
+	for id, w := range c.workers {
+		if id[0] == 'b' {
+			w.SetFaults(standin.Faults{Unreachable: true})
+		}
+	}
+	gang := testJob("gang", workload.Gang, 16, 1000, 300*time.Millisecond)
+	c.submit(d, gang)
+	time.Sleep(3 * testRenew) // several attempts
+	filler := testJob("filler", workload.Batch, 8, 1000, 50*time.Millisecond)
+	c.submit(d, filler)
+	c.awaitState(d, filler, Finished) // the gang holds nothing
+	for id, w := range c.workers {
+		if id[0] == 'b' {
+			w.SetFaults(standin.Faults{})
+		}
+	}
+	c.awaitState(d, gang, Finished)
+	c.finishedOnce([]workload.Job{gang, filler})
+	c.check()
+}
+
+// Guards against urgent work that waits behind running work, and against
+// preemption that overfills the worker.
+func TestUrgentPreempts(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	d := c.daemons[0]
+	low := testJob("low", workload.Service, 16, 1000, 0)
+	low.Priority, low.Preempt = workload.Low, true
+	c.submit(d, low)
+	c.awaitRunning(d, low, 16)
+	urgent := testJob("urgent", workload.Batch, 4, 1000, 100*time.Millisecond)
+	urgent.Priority = workload.Urgent
+	c.submit(d, urgent)
+	c.awaitState(d, urgent, Finished)
+	c.awaitRunning(d, low, 16)
+	c.check()
+}
+
+// Guards against a failing worker or job that is tried without end, and against
+// an end that is not told.
+func TestFailingTasksEnd(t *testing.T) {
+	c := newCell(t, 1, 1, 2)
+	d := c.daemons[0]
+	for _, w := range c.workers {
+		w.SetFaults(standin.Faults{FailStarts: true})
+	}
+	j := testJob("fails", workload.Batch, 2, 500, 10*time.Millisecond)
+	j.Retries = 2
+	c.submit(d, j)
+	c.awaitState(d, j, Failed)
+	if n := len(c.records()); n > 2*(j.Retries+1) {
+		t.Errorf("%d starts for 2 tasks with %d retries", n, j.Retries)
+	}
+	big := testJob("big", workload.Batch, 1, 100_000, time.Millisecond)
+	_, err := d.sched.Submit(context.Background(), big)
+	if errkind.Of(err) != errkind.Impossible {
+		t.Errorf("submit of a job that can never run: %v", err)
+	}
+	var e *errkind.Error
+	if !errors.As(err, &e) {
+		t.Errorf("error has no kind: %v", err)
+	}
+	c.check()
+}
+
+// Guards against cancellations whose cost grows with the number of open jobs:
+// the engine and log work per cancelled job must not depend on the wave.
+func TestCancelWave(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	d := c.daemons[1]
+	const wave = 2000
+	var jobs []workload.Job
+	for i := range wave {
+		jobs = append(jobs, testJob(fmt.Sprintf("wave-%d", i), workload.Batch, 1, 1000, time.Hour))
+	}
+	each := func(fn func(workload.Job)) {
+		var wg sync.WaitGroup
+		slots := make(chan struct{}, 256)
+		for _, j := range jobs {
+			slots <- struct{}{}
+			wg.Go(func() { fn(j); <-slots })
+		}
+		wg.Wait()
+	}
+	each(func(j workload.Job) { c.submit(d, j) })
+	var appends int
+	c.log.set(func(l *memLog) { appends = l.appends })
+	each(func(j workload.Job) {
+		if _, err := d.sched.Cancel(context.Background(), j.Team, j.ID); err != nil {
+			t.Errorf("cancel %s: %v", j.ID, err)
+		}
+	})
+	for _, j := range jobs {
+		c.awaitState(d, j, Cancelled)
+	}
+	c.log.set(func(l *memLog) { appends = l.appends - appends })
+	if appends > wave/10 {
+		t.Errorf("%d cancellations took %d appends", wave, appends)
+	}
+	for _, r := range c.records() {
+		if r.EndUS == 0 {
+			t.Errorf("task %s still runs", r.Task)
+		}
+	}
+	c.check()
+}
+
+// Guards against accepted jobs that are forgotten when the log drops their
+// records, and against finished tasks that run again after a takeover.
+func TestRecordsCarriedBeforeRetention(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	d := c.daemons[0]
+	c.log.set(func(l *memLog) { l.keep = 200 })
+	service := testJob("service", workload.Service, 2, 500, 0)
+	done := testJob("done", workload.Batch, 3, 500, time.Millisecond)
+	c.submit(d, service)
+	c.submit(d, done)
+	c.awaitState(d, done, Finished)
+	// Records of others push out what is not carried forward. Each step is a
+	// sixteenth of the retention and waits until the scheduler had time to read it.
+	for range 64 {
+		var junk [][]byte
+		for range 12 {
+			junk = append(junk, []byte("{}"))
+		}
+		if _, err := c.log.Append(context.Background(), "jobs", junk); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * carryPoll)
+	}
+	var oldest platform.Offset
+	c.log.set(func(l *memLog) { oldest = l.oldest })
+	if oldest < 400 {
+		t.Errorf("the log dropped only %d records", oldest)
+	}
+	c.reg.give(d, testTakeover, c.shard())
+	c.awaitRunning(d, service, 2)
+	c.awaitState(d, done, Finished)
+	c.finishedOnce([]workload.Job{done})
+	c.check()
+}
+
+// Guards against a difference between the intentions and what runs: jobs that
+// appear, disappear or change their count.
+func TestIntentionsReconciled(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	d := c.daemons[0]
+	running := func(base string) int {
+		n := 0
+		for _, r := range c.records() {
+			if r.EndUS == 0 && (r.Job == base || len(r.Job) > len(base) && r.Job[:len(base)+1] == base+partMark) {
+				n++
+			}
+		}
+		return n
+	}
+	batch := testJob("dues-2026-12-04", workload.Batch, 2, 100, 20*time.Millisecond)
+	for _, count := range []int{3, 5, 2, 4} {
+		s := testJob("web", workload.Service, count, 250, 0)
+		c.wants.set(s, batch)
+		eventually(t, fmt.Sprintf("%d tasks of the service run", count), func() bool { return running("web") == count })
+	}
+	c.awaitState(d, batch, Finished)
+	c.wants.set(batch)
+	eventually(t, "the service has ended", func() bool { return running("web") == 0 })
+	time.Sleep(4 * 50 * time.Millisecond) // further comparisons must change nothing
+	c.finishedOnce([]workload.Job{batch})
+	if len(violations(c.records())) > 0 {
+		c.check()
+	}
+}
+
+// Guards against a checker that finds nothing.
+func TestCheckerFindsViolations(t *testing.T) {
+	rec := func(worker, task string, attempt int, cpu, start, end int64) standin.RunRecord {
+		return standin.RunRecord{Worker: worker, Task: task, Attempt: attempt, StartUS: start, EndUS: end,
+			Resources: machine.Resources{CPUMilli: cpu}}
+	}
+	for name, c := range map[string]struct {
+		records []standin.RunRecord
+		want    int
+	}{
+		"clean":         {[]standin.RunRecord{rec("a", "t.0", 1, 4000, 1, 5), rec("b", "t.0", 2, 4000, 5, 0)}, 0},
+		"two places":    {[]standin.RunRecord{rec("a", "t.0", 1, 1, 1, 6), rec("b", "t.0", 2, 1, 5, 0)}, 1},
+		"over capacity": {[]standin.RunRecord{rec("a", "t.0", 1, 3000, 1, 0), rec("a", "t.1", 1, 1001, 5, 6)}, 1},
+	} {
+		if got := violations(c.records); len(got) != c.want {
+			t.Errorf("%s: %d violations, want %d: %v", name, len(got), c.want, got)
+		}
+	}
+}
--- a/job/harness_test.go
+++ b/job/harness_test.go
@@ -154,6 +154,14 @@
 	d.gate.shut()
 }
 
+// partition cuts the daemon off from the log and from all daemons. It still
+// reaches the workers.
+func (d *daemon) partition() {
+	d.reg.mu.Lock()
+	d.frozen, d.frozenAt = true, time.Now()
+	d.reg.mu.Unlock()
+}
+
 // thaw ends a freeze: held messages go out first, then the daemon reads the news.
 func (d *daemon) thaw() {
 	d.gate.open()
@@ -231,6 +239,12 @@
 	}
 }
 
+func (g *gate) heldRequests() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held
+}
+
 func (g *gate) RoundTrip(r *http.Request) (*http.Response, error) {
 	g.mu.Lock()
 	wait := g.wait
