--- a/config/calendar.go
+++ b/config/calendar.go
@@ -126,7 +126,7 @@
 }
 
 func sameClock(t, naive time.Time) bool {
-	return t.Format("2006-01-02T15:04") == naive.Format("2006-01-02T15:04")
+	return t.Minute() == naive.Minute() && t.Hour() == naive.Hour() && t.Day() == naive.Day() && t.Month() == naive.Month()
 }
 
 func parseClock(s string) (hour, minute int, err error) {
--- a/config/fakelog_test.go
+++ b/config/fakelog_test.go
@@ -118,7 +118,7 @@
 		if from < c.oldest {
 			return platform.Batch{}, &platform.TrimmedError{Stream: platform.StreamConfig, Oldest: c.oldest}
 		}
-		if from < head || wait == 0 {
+		if from != head || wait == 0 {
 			return c.batch(from, head, limit), nil
 		}
 		grown := c.grown
@@ -239,7 +239,13 @@
 }
 
 func proposal(id string, base Version, mode Mode, ops ...Op) Proposal {
-	return Proposal{ID: id, Base: base, Mode: mode, Ops: ops, By: "anna", Summary: "change " + id}
+	p := Proposal{ID: id, Base: base, Mode: mode, Ops: ops, By: "anna", Summary: "change " + id}
+	if mode == Sheet {
+		c := Content{}.clone()
+		applyOps(c, ops, "2026-12-04", 0, nil)
+		p.Ops, p.Content = nil, &c
+	}
+	return p
 }
 
 func intention(kind workload.Kind, name, at string, grace time.Duration) Intention {
--- a/config/fold.go
+++ b/config/fold.go
@@ -84,7 +84,7 @@
 }
 
 func (st *State) applyRecord(rec changeRecord, v Version) *State {
-	out := st.clone()
+	out := st.cloneFor(rec)
 	out.promote(max(rec.Today, out.Today))
 	out.Version = v
 	for _, p := range rec.Parts {
@@ -100,6 +100,34 @@
 	return out
 }
 
+// cloneFor copies the maps that rec changes. Copying all of them would make a
+// small change cost as much as the largest map.
+func (st *State) cloneFor(rec changeRecord) *State {
+	out := *st
+	out.Plans, out.Retired = cloneMap(st.Plans), cloneMap(st.Retired)
+	copied := make(map[EntryKind]bool)
+	for _, p := range rec.Parts {
+		for _, o := range p.Ops {
+			ref, _ := o.Ref()
+			if copied[ref.Kind] {
+				continue
+			}
+			copied[ref.Kind] = true
+			switch ref.Kind {
+			case CustomerEntry:
+				out.Customers = cloneMap(st.Customers)
+			case TeamEntry:
+				out.Teams = cloneMap(st.Teams)
+			case IntentionEntry:
+				out.Intentions = cloneMap(st.Intentions)
+			case DrainEntry:
+				out.Drains = cloneMap(st.Drains)
+			}
+		}
+	}
+	return &out
+}
+
 func entryOf(p change, base, v Version) Entry {
 	e := Entry{Version: v, Base: base, ID: p.ID, By: p.By, At: p.At, Day: p.Day, Summary: p.Summary, Sheet: p.Sheet, Ops: len(p.Ops)}
 	if len(p.Ops) <= maxKeysPerEntry {
--- a/config/group.go
+++ b/config/group.go
@@ -30,9 +30,8 @@
 			w.done <- decided{err: errkind.New(errkind.Cancelled, "submit_cancelled", "the caller gave up before the change was sent")}
 			continue
 		}
-		refs := w.refs()
 		// Proposals that touch the same entries must see each other's result, so they go into different records.
-		if b.full(p.cfg, len(g.members)) || b.overlaps(refs) || w.Mode != Merge && len(g.members) > 0 {
+		if b.full(p.cfg, len(g.members)) || b.overlaps(w.refs()) || w.Mode != Merge && len(g.members) > 0 {
 			g.rest = append(g.rest, w)
 			continue
 		}
@@ -41,7 +40,7 @@
 			w.done <- *d
 			continue
 		}
-		b.add(w, refs, work)
+		b.add(w, work)
 		g.members = append(g.members, w)
 		g.rec.Parts = append(g.rec.Parts, w.change(p.cfg.Store.cfg.Now()))
 	}
@@ -79,9 +78,9 @@
 	return c
 }
 
-func (b *grouping) add(w *pending, refs map[Ref]bool, work Content) {
+func (b *grouping) add(w *pending, work Content) {
 	applyOps(work, w.Ops, w.Day, b.im.State.Version, nil)
-	for r := range refs {
+	for r := range w.refs() {
 		b.touched[r] = true
 	}
 	b.ops += len(w.Ops)
--- a/config/proposal.go
+++ b/config/proposal.go
@@ -18,18 +18,22 @@
 	Strict Mode = iota
 	// Merge proposals lose only to a change of one of their entries. Small changes use it.
 	Merge
-	// Sheet proposals replace the whole content of a day. They lose to a change of
-	// one of their entries and to any other sheet for the same day.
+	// Sheet proposals replace the whole content of a day. They lose to any other
+	// sheet for the same day and to a change of an entry that they would undo.
 	Sheet
 )
 
 // Proposal is a change that a user submits. All of it takes effect or nothing.
 type Proposal struct {
-	ID      string // ULID of the caller; a repeat with the same ID is settled, not run again
-	Base    Version
-	Mode    Mode
-	Day     string // local date from which it holds; empty means today
-	Ops     []Op
+	ID   string // ULID of the caller; a repeat with the same ID is settled, not run again
+	Base Version
+	Mode Mode
+	Day  string // local date from which it holds; empty means today
+	// Ops are the changes of a Strict or Merge proposal.
+	Ops []Op
+	// Content is the whole content of the day of a Sheet proposal. The ops follow
+	// from it and the state at the time of publication.
+	Content *Content
 	By      string
 	Summary string
 }
@@ -75,8 +79,15 @@
 	if _, err := parseDate(p.Day); p.Day != "" && err != nil {
 		return bad("day must be YYYY-MM-DD, got %q", p.Day)
 	}
-	seen := make(map[Ref]bool, len(p.Ops))
-	for _, o := range p.Ops {
+	ops := p.Ops
+	if (p.Mode == Sheet) != (p.Content != nil) || p.Content != nil && len(ops) > 0 {
+		return bad("a sheet has content and no ops, any other change has ops and no content")
+	}
+	if p.Content != nil {
+		ops = DiffContent(Content{}, *p.Content)
+	}
+	seen := make(map[Ref]bool, len(ops))
+	for _, o := range ops {
 		if err := o.Validate(); err != nil {
 			return err
 		}
@@ -107,6 +118,9 @@
 	if p.Day < today {
 		return &decided{err: errkind.New(errkind.BadInput, "day_passed", "the change is for %s, today is %s", p.Day, today)}
 	}
+	if p.Mode == Sheet {
+		p.Ops = DiffContent(work, *p.Content)
+	}
 	_, planned := im.State.Plans[p.Day]
 	effective := slices.ContainsFunc(p.Ops, func(o Op) bool { return o.Changes(work) })
 	// A sheet for a later day that equals today's content still fixes that day.
--- a/config/read.go
+++ b/config/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,7 +20,9 @@
 
 // Run reads the log until ctx ends. While the log cannot be read it asks peers.
 func (s *Store) Run(ctx context.Context) error {
-	go s.runRollover(ctx)
+	var rollover sync.WaitGroup
+	rollover.Go(func() { s.runRollover(ctx) })
+	defer rollover.Wait()
 	pause := s.cfg.RetryMin
 	var asked time.Time
 	for ctx.Err() == nil {
--- a/sheet/diff.go
+++ b/sheet/diff.go
@@ -21,13 +21,14 @@
 	Base    config.Version `json:"base"` // version that it was compared with
 	Changes []Change       `json:"changes"`
 	Ops     []config.Op    `json:"-"`
+	content config.Content
 }
 
 // Diff compares s with what st holds for the day of s: the plan of that day or
 // of the latest day before it, else the content in force.
 func Diff(s *Sheet, st *config.State) Difference {
 	from := st.PlannedFor(s.Day)
-	d := Difference{Day: s.Day, Base: st.Version, Ops: config.DiffContent(from, s.Content)}
+	d := Difference{Day: s.Day, Base: st.Version, Ops: config.DiffContent(from, s.Content), content: s.Content}
 	for _, o := range d.Ops {
 		ref, _ := o.Ref()
 		c := Change{Action: "change", Ref: ref, Before: describe(from, ref), After: describe(s.Content, ref)}
@@ -44,7 +45,7 @@
 // Proposal returns the one change that puts the sheet in force, all or nothing.
 // id is a fresh ULID of the caller, base the version that the operator has seen.
 func (d Difference) Proposal(id, by, summary string) config.Proposal {
-	return config.Proposal{ID: id, Base: d.Base, Mode: config.Sheet, Day: d.Day, Ops: d.Ops, By: by, Summary: summary}
+	return config.Proposal{ID: id, Base: d.Base, Mode: config.Sheet, Day: d.Day, Content: &d.content, By: by, Summary: summary}
 }
 
 // String returns one line per change.
