Add the request path: entry, recorder, executor owner, executor client and stand-in

Requests go from the entry to the owner of an executor group, non-repeatable ones through the recorder of their id.

Found by the test: ids drawn from the seeded source collide between daemons with the same seed (3 daemons with seed 7: one id ran 3 times for 3 callers). Ids now always come from crypto/rand; the seed only drives the choice of groups.

--- /dev/null
+++ b/machine/executor.go
@@ -0,0 +1,211 @@
+package machine
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+// The headers of the executor protocol.
+const (
+	HeaderEpoch     = "Sassafras-Epoch"
+	HeaderRequestID = "Sassafras-Request-Id"
+	HeaderClass     = "Sassafras-Class"
+	HeaderDigest    = "Content-Digest" // RFC 9530, "sha-256=:<base64>:"
+)
+
+// ExecutorConfig configures an ExecutorClient.
+type ExecutorConfig struct {
+	Address        string        // IP:port
+	MaxConns       int           // connections for runs; default 16. One more is used for hello and ping.
+	DialTimeout    time.Duration // default 1 s
+	MaxAnswerBytes int64         // default 8 MiB
+}
+
+// ExecutorClient calls one executor. It is safe for concurrent use.
+type ExecutorClient struct {
+	cfg     ExecutorConfig
+	base    string
+	runs    *http.Transport
+	control *http.Transport
+}
+
+// ExecutorHello is the answer to a hello.
+type ExecutorHello struct {
+	Slots       int `json:"slots"`
+	Busy        int `json:"busy"`
+	Connections int `json:"connections"`
+}
+
+// ExecutorRun is one request for an executor.
+type ExecutorRun struct {
+	Epoch uint64
+	ID    string
+	Class string
+	Body  []byte
+}
+
+// NewExecutorClient returns a client; it opens no connection yet.
+func NewExecutorClient(cfg ExecutorConfig) *ExecutorClient {
+	if cfg.MaxConns <= 0 {
+		cfg.MaxConns = 16
+	}
+	if cfg.DialTimeout <= 0 {
+		cfg.DialTimeout = time.Second
+	}
+	if cfg.MaxAnswerBytes <= 0 {
+		cfg.MaxAnswerBytes = 8 << 20
+	}
+	transport := func(conns int) *http.Transport {
+		return &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
+			MaxConnsPerHost:     conns,
+			MaxIdleConnsPerHost: conns,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		}
+	}
+	return &ExecutorClient{
+		cfg:  cfg,
+		base: "http://" + cfg.Address,
+		runs: transport(cfg.MaxConns),
+		// Probes have a connection of their own, so that they never wait for runs.
+		control: transport(1),
+	}
+}
+
+// CloseIdle closes the connections that carry no call.
+func (c *ExecutorClient) CloseIdle() {
+	c.runs.CloseIdleConnections()
+	c.control.CloseIdleConnections()
+}
+
+// Hello announces epoch to the executor and returns its state. The error kinds
+// are StaleEpoch and Unreachable.
+func (c *ExecutorClient) Hello(ctx context.Context, epoch uint64) (ExecutorHello, error) {
+	var h ExecutorHello
+	body, err := json.Marshal(map[string]uint64{"epoch": epoch})
+	if err != nil {
+		return h, errors.Wrap(err, "encode hello")
+	}
+	res, err := c.probe(ctx, http.MethodPost, "/v1/hello", body)
+	if err != nil {
+		return h, err
+	}
+	if err := json.Unmarshal(res, &h); err != nil {
+		return h, errkind.Wrap(errkind.Unreachable, "bad_hello", err)
+	}
+	if h.Slots < 0 || h.Busy < 0 || h.Connections < 0 {
+		return h, errkind.New(errkind.Unreachable, "bad_hello", "negative count in %s", res)
+	}
+	return h, nil
+}
+
+// Ping asks for a sign of life.
+func (c *ExecutorClient) Ping(ctx context.Context) error {
+	_, err := c.probe(ctx, http.MethodGet, "/v1/ping", nil)
+	return err
+}
+
+func (c *ExecutorClient) probe(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "probe request")
+	}
+	res, err := c.control.RoundTrip(req)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Unreachable, "probe_failed", err)
+	}
+	defer res.Body.Close()
+	out, err := io.ReadAll(io.LimitReader(res.Body, 64<<10))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Unreachable, "probe_failed", err)
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		return out, nil
+	case http.StatusConflict:
+		return nil, errkind.New(errkind.StaleEpoch, "executor_stale_epoch", "%s", c.cfg.Address)
+	default:
+		return nil, errkind.New(errkind.Unreachable, "probe_status", "status %d", res.StatusCode)
+	}
+}
+
+// Run runs r and returns the whole answer. The error kinds tell what is certain:
+// Unreachable, StaleEpoch and NoCapacity mean that r did not run;
+// UpstreamFailed and AnswerTooLarge that it ran; OutcomeUnknown everything else.
+func (c *ExecutorClient) Run(ctx context.Context, r ExecutorRun) ([]byte, error) {
+	// Once a connection was assigned, the transport may have written the request.
+	var assigned atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { assigned.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/run", bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Unreachable, "bad_address", err)
+	}
+	req.Header.Set(HeaderEpoch, strconv.FormatUint(r.Epoch, 10))
+	req.Header.Set(HeaderRequestID, r.ID)
+	req.Header.Set(HeaderClass, r.Class)
+	res, err := c.runs.RoundTrip(req)
+	if err != nil {
+		if !assigned.Load() {
+			return nil, errkind.Wrap(errkind.Unreachable, "not_sent", err)
+		}
+		return nil, errkind.Wrap(errkind.OutcomeUnknown, "no_answer", err)
+	}
+	defer res.Body.Close()
+	if got := res.Header.Get(HeaderRequestID); got != r.ID {
+		return nil, errkind.New(errkind.OutcomeUnknown, "crossed_answer", "answer for id %q", got)
+	}
+	switch {
+	case res.StatusCode == http.StatusConflict:
+		return nil, errkind.New(errkind.StaleEpoch, "executor_stale_epoch", "epoch %d", r.Epoch)
+	case res.StatusCode == http.StatusServiceUnavailable:
+		return nil, errkind.New(errkind.NoCapacity, "executor_busy", "%s", c.cfg.Address)
+	case res.StatusCode != http.StatusOK:
+		return nil, errkind.New(errkind.UpstreamFailed, "executor_failed", "status %d", res.StatusCode)
+	}
+	return c.readAnswer(res)
+}
+
+// readAnswer returns the body only if its length and digest match the headers.
+func (c *ExecutorClient) readAnswer(res *http.Response) ([]byte, error) {
+	if res.ContentLength < 0 {
+		return nil, errkind.New(errkind.OutcomeUnknown, "no_length", "answer without a length")
+	}
+	if res.ContentLength > c.cfg.MaxAnswerBytes {
+		return nil, errkind.New(errkind.AnswerTooLarge, "answer_too_large", "%d bytes", res.ContentLength)
+	}
+	body := make([]byte, res.ContentLength)
+	if _, err := io.ReadFull(res.Body, body); err != nil {
+		return nil, errkind.Wrap(errkind.OutcomeUnknown, "partial_answer", err)
+	}
+	if want := res.Header.Get(HeaderDigest); want != Digest(body) {
+		return nil, errkind.New(errkind.OutcomeUnknown, "digest_mismatch", "header %q", want)
+	}
+	// Reading up to the end lets the transport use the connection again.
+	if n, err := res.Body.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		return nil, errkind.New(errkind.OutcomeUnknown, "partial_answer", "bytes after the answer")
+	}
+	return body, nil
+}
+
+// Digest returns the value of HeaderDigest for body.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
+}
--- /dev/null
+++ b/request/config.go
@@ -0,0 +1,143 @@
+package request
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/config"
+	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/link"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// Config configures a Service. The first group of fields is required; zero
+// values of the others take the defaults.
+type Config struct {
+	Peers     link.Peers
+	Ownership contract.Ownership
+	Grants    Grants
+	Hosts     platform.HostList
+	View      config.View
+	Topology  *zone.Topology
+
+	Log     zerolog.Logger
+	Metrics prometheus.Registerer // default: a registry of its own
+	Seed    uint64                // of the random choices, not of ids; default random
+
+	Shards          int           // id shards per region; default 4
+	DefaultDeadline time.Duration // default 30 s
+	MaxDeadline     time.Duration // default 5 min
+	MaxBodyBytes    int           // default 1 MiB
+	MaxAnswerBytes  int           // default 8 MiB
+	MaxOpen         int           // open calls of the entry; default 20000
+
+	ExecutorConns   int           // run connections per executor; default 16
+	QueuePerSlot    int           // waiting calls per slot of a group; default 8
+	CrossRegionWait time.Duration // wait that a region crossing must save; default 50 ms
+	CrossZoneWait   time.Duration // wait that a zone crossing must save; default 2 ms
+
+	HostsInterval time.Duration // default 500 ms
+	ProbeInterval time.Duration // of links and executors; default 1 s
+	SilentAfter   time.Duration // silence that ends a link; default 3 s
+	LoadInterval  time.Duration // of load reports; default 200 ms
+	LoadBytes     int           // load reports sent, bytes per second; default 1024
+
+	MaxAttempts int           // per call; default 4
+	RetryShare  float64       // retries per call; default 0.1
+	RetryBurst  float64       // retries allowed at once; default 20
+	RetryBase   time.Duration // backoff of the first retry; default 5 ms
+
+	EjectFailures int           // failures in a row; default 5
+	EjectSlow     float64       // factor over the median run time; default 4
+	EjectShare    float64       // of a group; default 1/3
+	EjectTime     time.Duration // first ejection; doubles up to 16 times; default 5 s
+
+	Memory      time.Duration // for which a recorder remembers ids; default 10 min
+	MemoryIDs   int           // ids that a recorder remembers; default 1<<20
+	MemoryBytes int64         // bodies of answers that a recorder keeps; default 32 MiB
+}
+
+func orDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+func (c *Config) setDefaults() error {
+	if c.Peers == nil || c.Ownership == nil || c.Grants == nil || c.Hosts == nil || c.View == nil || c.Topology == nil {
+		return errors.New("request: Peers, Ownership, Grants, Hosts, View and Topology are required")
+	}
+	if c.Metrics == nil {
+		c.Metrics = prometheus.NewRegistry()
+	}
+	orDefault(&c.Seed, rand.Uint64())
+	orDefault(&c.Shards, 4)
+	orDefault(&c.DefaultDeadline, 30*time.Second)
+	orDefault(&c.MaxDeadline, 5*time.Minute)
+	orDefault(&c.MaxBodyBytes, 1<<20)
+	orDefault(&c.MaxAnswerBytes, 8<<20)
+	orDefault(&c.MaxOpen, 20000)
+	orDefault(&c.ExecutorConns, 16)
+	orDefault(&c.QueuePerSlot, 8)
+	orDefault(&c.CrossRegionWait, 50*time.Millisecond)
+	orDefault(&c.CrossZoneWait, 2*time.Millisecond)
+	orDefault(&c.HostsInterval, 500*time.Millisecond)
+	orDefault(&c.ProbeInterval, time.Second)
+	orDefault(&c.SilentAfter, 3*time.Second)
+	orDefault(&c.LoadInterval, 200*time.Millisecond)
+	orDefault(&c.LoadBytes, 1024)
+	orDefault(&c.MaxAttempts, 4)
+	orDefault(&c.RetryShare, 0.1)
+	orDefault(&c.RetryBurst, 20)
+	orDefault(&c.RetryBase, 5*time.Millisecond)
+	orDefault(&c.EjectFailures, 5)
+	orDefault(&c.EjectSlow, 4)
+	orDefault(&c.EjectShare, 1.0/3)
+	orDefault(&c.EjectTime, 5*time.Second)
+	orDefault(&c.Memory, 10*time.Minute)
+	orDefault(&c.MemoryIDs, 1<<20)
+	orDefault(&c.MemoryBytes, 32<<20)
+	return nil
+}
+
+// lockedRand is a seeded source that is safe for concurrent use.
+type lockedRand struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newRand(seed uint64) *lockedRand { return &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))} }
+
+func (l *lockedRand) intN(n int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.IntN(n)
+}
+
+func (l *lockedRand) float() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Float64()
+}
+
+// step returns a random number between 1 and n-1 that has no common divisor with
+// n, so that steps of it visit all of n places.
+func (l *lockedRand) step(n int) int {
+	for {
+		s := 1 + l.intN(n-1)
+		a, b := n, s
+		for b != 0 {
+			a, b = b, a%b
+		}
+		if a == 1 {
+			return s
+		}
+	}
+}
--- /dev/null
+++ b/request/server.go
@@ -0,0 +1,110 @@
+package request
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/rpc"
+)
+
+// frameBytes is the largest part of a body in one frame; drpc refuses messages
+// above 4 MiB.
+const frameBytes = 512 << 10
+
+// server serves rpc.RequestPath.
+type server struct{ s *Service }
+
+type frameSender interface {
+	Context() context.Context
+	Send(*rpc.RequestFrame) error
+}
+
+// RunOnGroup runs a request on a group of this daemon.
+func (v server) RunOnGroup(in *rpc.RequestCall, out rpc.DRPCRequestPath_RunOnGroupStream) error {
+	return v.serve(in, out, contract.Exec, v.s.groups.run)
+}
+
+// RecordAndRun runs a request through the recorder of this daemon.
+func (v server) RecordAndRun(in *rpc.RequestCall, out rpc.DRPCRequestPath_RecordAndRunStream) error {
+	return v.serve(in, out, contract.IDs, v.s.recorder.run)
+}
+
+// ReportLoad takes in the loads of the groups of another daemon.
+func (v server) ReportLoad(_ context.Context, in *rpc.GroupLoadReport) (*rpc.GroupLoadAck, error) {
+	v.s.loads.update(in.GetLoads()...)
+	return &rpc.GroupLoadAck{}, nil
+}
+
+// serve runs the call and sends a frame at least every Config.ProbeInterval.
+func (v server) serve(in *rpc.RequestCall, out frameSender, kind contract.KeyKind,
+	run func(context.Context, contract.Key, *request) reply) error {
+	r, err := v.parse(in, kind)
+	if err != nil {
+		return v.send(in, out, failed(err))
+	}
+	if !v.s.gate.enter() {
+		return v.send(in, out, failed(errkind.New(errkind.Draining, "daemon_draining", "%s", v.s.self)))
+	}
+	defer v.s.gate.leave()
+	done := make(chan reply, 1)
+	go func() { done <- run(out.Context(), contract.Key(in.Key), r) }()
+	t := time.NewTicker(v.s.cfg.ProbeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case rep := <-done:
+			return v.send(in, out, rep)
+		case <-t.C:
+			if err := out.Send(&rpc.RequestFrame{}); err != nil {
+				<-done // ends soon, because the context of the stream has ended
+				return err
+			}
+		}
+	}
+}
+
+// parse validates a call from another daemon.
+func (v server) parse(in *rpc.RequestCall, kind contract.KeyKind) (*request, error) {
+	now := time.Now()
+	r := &request{customer: in.Customer, class: Class(in.Class), weight: int(in.Weight), body: in.Body}
+	if len(in.Id) != len(ulid.ULID{}) {
+		return nil, errkind.New(errkind.BadInput, "bad_id", "id of %d bytes", len(in.Id))
+	}
+	r.id = ulid.ULID(in.Id)
+	if contract.Key(in.Key).Kind() != kind {
+		return nil, errkind.New(errkind.BadInput, "bad_key", "key %.80q", in.Key)
+	}
+	if in.BudgetUs <= 0 {
+		return nil, errkind.New(errkind.DeadlineUnmet, "deadline_passed", "budget %d us", in.BudgetUs)
+	}
+	r.deadline = now.Add(min(v.s.cfg.MaxDeadline, time.Duration(min(in.BudgetUs, v.s.cfg.MaxDeadline.Microseconds()))*time.Microsecond))
+	return r, v.s.check(r, now)
+}
+
+// send sends the body in parts and then the end.
+func (v server) send(in *rpc.RequestCall, out frameSender, rep reply) error {
+	end := &rpc.RequestEnd{Id: in.Id, WaitedUs: rep.answer.Waited.Microseconds()}
+	if g := v.s.groups.get(contract.Key(in.Key)); g != nil {
+		end.Load = g.load()
+	}
+	if rep.err != nil {
+		end.Failure = &rpc.RequestFailure{Kind: string(errkind.Of(rep.err)), Reason: errkind.ReasonOf(rep.err),
+			Detail: rep.err.Error(), Fresh: rep.fresh}
+		return out.Send(&rpc.RequestFrame{End: end})
+	}
+	body := rep.answer.Body
+	sum := sha256.Sum256(body)
+	end.Length, end.Digest = int64(len(body)), sum[:]
+	for len(body) > frameBytes {
+		if err := out.Send(&rpc.RequestFrame{Body: body[:frameBytes]}); err != nil {
+			return err
+		}
+		body = body[frameBytes:]
+	}
+	return out.Send(&rpc.RequestFrame{Body: body, End: end})
+}
