Join the parts: daemon, tool, stand-ins and demonstration

Cause: nothing could be judged until a request, a job and a sheet went end to end through separate processes. Ruled out: one process with everything in it, which hides failures between processes; wiring by hand in main, since samber/do names what depends on what. Before: modules alone.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 clean:
 	rm -rf $(BIN)
+
+demo: build
+	$(BIN)/sassafras-demo
--- /dev/null
+++ b/cmd/sassafras-demo/play.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/client"
+	"github.com/sassafraslb/sassafraslb/config"
+	"github.com/sassafraslb/sassafraslb/daemon"
+	"github.com/sassafraslb/sassafraslb/internal/cluster"
+	"github.com/sassafraslb/sassafraslb/job"
+)
+
+// loadTime is how long the callers send requests.
+const loadTime = 12 * time.Second
+
+// sheetText is the sheet of the demonstration; DAY is replaced by today.
+const sheetText = `kind;day;team;name;region;class;count;cpu;memory;priority;run_time;retries;weight;per_second;burst
+team;DAY;valuations;;lombardy;;;64;128 GiB;;;;2;;
+team;DAY;stock;;lombardy;;;64;128 GiB;;;;1;;
+team;DAY;quotes;;veneto;;;32;64 GiB;;;;1;;
+customer;DAY;;fitters;lombardy;;;;;;;;1;;
+limit;DAY;;fitters;;*;;;;;;;;2000;2000
+service;DAY;valuations;lot-valuator;;;6;1,5;3 GiB;high;;3;;;
+service;DAY;quotes;quick-quote;;;4;500m;768 MiB;high;;3;;;
+end;;;;;;7;;;;;;;;
+`
+
+// demo plays the steps and keeps what the callers were told.
+type demo struct {
+	c        *cluster.Cluster
+	bin, dir string
+
+	mu       sync.Mutex
+	dead     map[string]bool
+	attempts []cluster.Attempt
+	jobs     []job.Status
+	takeover time.Duration
+}
+
+// say prints a step with the time since the start.
+func (d *demo) say(format string, args ...any) { fmt.Printf("- "+format+"\n", args...) }
+
+func (d *demo) play(ctx context.Context) error {
+	for _, n := range d.c.Daemons {
+		if err := d.c.Ready(ctx, n); err != nil {
+			return err
+		}
+	}
+	for _, n := range []*cluster.Node{d.c.Daemons[0], d.c.Daemons[3]} {
+		if err := d.c.Owned(ctx, n); err != nil {
+			return err
+		}
+	}
+	d.say("%d daemons are ready and own all racks, executors and shards", len(d.c.Daemons))
+	if err := d.applySheet(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	loading, stop := context.WithTimeout(ctx, loadTime)
+	defer stop()
+	go func() {
+		defer close(done)
+		load := cluster.Load{Targets: d.targets, Customer: "fitters", Callers: 24, Pause: 5 * time.Millisecond, Deadline: 5 * time.Second, Attempts: 6}
+		d.attempts = load.Run(loading)
+	}()
+	if err := d.submitJobs(ctx); err != nil {
+		return err
+	}
+	if err := d.killOne(ctx); err != nil {
+		return err
+	}
+	<-done
+	d.say("callers made %d calls", len(d.attempts))
+	return d.finishJobs(ctx)
+}
+
+// targets returns the daemons that a balancer would use.
+func (d *demo) targets() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for _, n := range d.c.Daemons {
+		if !d.dead[n.ID] {
+			out = append(out, n.URL())
+		}
+	}
+	return out
+}
+
+// applySheet uses the command-line tool as an operator would.
+func (d *demo) applySheet() error {
+	loc, err := time.LoadLocation("Europe/Rome")
+	if err != nil {
+		return errors.Wrap(err, "time zone")
+	}
+	path := filepath.Join(d.dir, "sheet.csv")
+	text := strings.ReplaceAll(sheetText, "DAY", config.LocalDate(time.Now(), loc))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "write sheet")
+	}
+	start := time.Now()
+	cmd := exec.Command(filepath.Join(d.bin, "sassafrasctl"), "sheet", "apply", path, "--wait", "--by", "demo", "-s", d.c.Daemons[4].URL())
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return errors.Wrapf(err, "sheet apply: %s", out)
+	}
+	d.say("sheet applied in %s: %s", time.Since(start).Round(time.Millisecond), strings.Join(strings.Fields(string(out)), " "))
+	return nil
+}
+
+func (d *demo) submitJobs(ctx context.Context) error {
+	caller, err := client.New(client.Config{Servers: []string{d.c.Daemons[1].URL()}, RetryFor: 10 * time.Second})
+	if err != nil {
+		return err
+	}
+	for _, j := range []struct {
+		team string
+		body daemon.JobBody
+	}{
+		{"stock", daemon.JobBody{ID: "reconcile-1", Kind: "batch", Count: 60, CPUMilli: 2000, MemoryMiB: 1024, RunTime: "2s", Retries: 3}},
+		{"valuations", daemon.JobBody{ID: "revalue-1", Kind: "gang", Count: 12, CPUMilli: 4000, MemoryMiB: 2048, RunTime: "3s", Retries: 3}},
+		{"quotes", daemon.JobBody{ID: "index-1", Kind: "batch", Count: 20, CPUMilli: 1000, MemoryMiB: 512, RunTime: "1s", Priority: 50, Retries: 3}},
+	} {
+		var st job.Status
+		if err := caller.Call(ctx, http.MethodPost, "/v1/teams/"+j.team+"/jobs", j.body, &st); err != nil {
+			return errors.Wrap(err, "submit "+j.body.ID)
+		}
+		d.jobs = append(d.jobs, st)
+		d.say("%s job %s of %d tasks is %s", j.body.Kind, j.body.ID, j.body.Count, st.State)
+	}
+	return nil
+}
+
+// killOne ends a daemon of Lombardy without warning and waits for the takeover.
+func (d *demo) killOne(ctx context.Context) error {
+	time.Sleep(2 * time.Second)
+	victim := d.c.Daemons[0]
+	start := time.Now()
+	victim.Kill()
+	// A balancer notices the refused connections at once.
+	d.mu.Lock()
+	d.dead = map[string]bool{victim.ID: true}
+	d.mu.Unlock()
+	d.say("killed %s", victim.ID)
+	if err := d.c.Owned(ctx, d.c.Daemons[1], victim.ID); err != nil {
+		return err
+	}
+	d.takeover = time.Since(start)
+	d.say("all its keys are served again after %s", d.takeover.Round(10*time.Millisecond))
+	return nil
+}
+
+func (d *demo) finishJobs(ctx context.Context) error {
+	teams := []string{"stock", "valuations", "quotes"}
+	for i := range d.jobs {
+		err := cluster.Poll(ctx, "end of "+d.jobs[i].Job, func(ctx context.Context) error {
+			if err := d.c.Send(ctx, http.MethodGet, d.c.Daemons[1].URL()+"/v1/teams/"+teams[i]+"/jobs/"+d.jobs[i].Job, nil, &d.jobs[i]); err != nil {
+				return err
+			}
+			if !d.jobs[i].Final() {
+				return errors.Errorf("%+v", d.jobs[i])
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		d.say("job %s: %s, %d tasks finished", d.jobs[i].Job, d.jobs[i].State, d.jobs[i].Finished)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/sassafrasctl/output.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+)
+
+// print writes v as JSON, or the rows of table.
+func (t *tool) print(v any, table func(row func(cells ...any))) error {
+	if *t.output == "json" {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	table(func(cells ...any) {
+		for i, c := range cells {
+			if i > 0 {
+				_, _ = fmt.Fprint(w, "\t")
+			}
+			_, _ = fmt.Fprint(w, c)
+		}
+		_, _ = fmt.Fprintln(w)
+	})
+	return w.Flush()
+}
--- a/cmd/sassafraslbd/main.go
+++ b/cmd/sassafraslbd/main.go
@@ -1,4 +1,69 @@
 // Command sassafraslbd is the daemon that runs on every entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	_ "time/tzdata" // entry hosts may lack the time zone database
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/daemon"
+	"github.com/sassafraslb/sassafraslb/internal/logline"
+	"github.com/sassafraslb/sassafraslb/settings"
+)
+
+func main() {
+	app := kingpin.New("sassafraslbd", "Cluster scheduler daemon: routes requests to executors and places jobs on workers.")
+	run := app.Command("run", "Run the daemon until SIGTERM or SIGINT, then stop without cutting open calls.").Default()
+	runConfig := run.Flag("config", "Settings file: JSON with comments (docs/settings.md).").Required().ExistingFile()
+	check := app.Command("check", "Check a settings file, report every fault with field and line, and exit 1 if there is one.")
+	checkConfig := check.Flag("config", "Settings file.").Required().ExistingFile()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case run.FullCommand():
+		os.Exit(runDaemon(*runConfig))
+	case check.FullCommand():
+		os.Exit(checkSettings(*checkConfig))
+	}
+}
+
+func checkSettings(path string) int {
+	if _, err := settings.Load(path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	fmt.Println("settings are valid")
+	return 0
+}
+
+func runDaemon(path string) int {
+	set, err := settings.Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	level, err := zerolog.ParseLevel(set.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	zerolog.SetGlobalLevel(level)
+	log := logline.New(os.Stderr).With().Str("daemon", set.DaemonID).Logger()
+	d, err := daemon.New(set, log)
+	if err != nil {
+		log.Error().Str("event", "start_failed").Err(err).Send()
+		return 1
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		log.Error().Str("event", "daemon_failed").Err(err).Send()
+		return 1
+	}
+	log.Info().Str("event", "daemon_stopped").Send()
+	return 0
+}
--- /dev/null
+++ b/daemon/api_cell.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+
+	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/link"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/request"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// KeyOwner tells who owns a key.
+type KeyOwner struct {
+	Key   string `json:"key"`
+	Owner string `json:"owner,omitempty"`
+	Epoch uint64 `json:"epoch"`
+	Mine  bool   `json:"mine" doc:"this daemon owns it and may act"`
+}
+
+// MemberView is a daemon as this one sees it.
+type MemberView struct {
+	ID     string `json:"id"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	State  string `json:"state"`
+}
+
+// LinkBytes are the bytes of connections of one distance.
+type LinkBytes struct {
+	Distance string `json:"distance"`
+	In       uint64 `json:"in"`
+	Out      uint64 `json:"out"`
+}
+
+// Cell is what one daemon knows of the cell.
+type Cell struct {
+	Daemon   string                 `json:"daemon"`
+	Zone     string                 `json:"zone"`
+	TimeZone string                 `json:"time_zone"`
+	Uptime   string                 `json:"uptime"`
+	Regions  map[string][]zone.Name `json:"regions"`
+	Members  []MemberView           `json:"members"`
+	Keys     []KeyOwner             `json:"keys" doc:"keys of this daemon's region"`
+	Links    []LinkBytes            `json:"links"`
+	Requests request.Stats          `json:"requests"`
+}
+
+type cellOutput struct{ Body Cell }
+type doctorOutput struct{ Body []Problem }
+type levelInput struct {
+	Body struct {
+		Level string `json:"level" enum:"trace,debug,info,warn,error"`
+	}
+}
+
+func (d *Daemon) routeCell(api huma.API) {
+	cell := operation("show-cell", http.MethodGet, "/v1/cell", "Members, keys, links and queues as this daemon sees them")
+	huma.Register(api, cell, func(ctx context.Context, _ *struct{}) (*cellOutput, error) {
+		c, err := d.cell(ctx)
+		if err != nil {
+			return nil, answer(err)
+		}
+		return &cellOutput{c}, nil
+	})
+	doctor := operation("doctor", http.MethodGet, "/v1/doctor", "What this daemon cannot do at the moment, and why")
+	huma.Register(api, doctor, func(ctx context.Context, _ *struct{}) (*doctorOutput, error) {
+		return &doctorOutput{d.problems(ctx)}, nil
+	})
+	level := operation("set-log-level", http.MethodPut, "/v1/log-level", "Change the log level of this daemon until it restarts")
+	huma.Register(api, level, func(_ context.Context, in *levelInput) (*struct{}, error) {
+		l, err := zerolog.ParseLevel(in.Body.Level)
+		if err != nil {
+			return nil, answer(errkind.New(errkind.BadInput, "log_level", "%s", err))
+		}
+		zerolog.SetGlobalLevel(l)
+		d.log.WithLevel(zerolog.InfoLevel).Str("event", "log_level_set").Str("level", in.Body.Level).Send()
+		return nil, nil
+	})
+}
+
+func (d *Daemon) cell(ctx context.Context) (Cell, error) {
+	c := Cell{
+		Daemon: d.set.DaemonID, Zone: string(d.set.Zone), TimeZone: d.set.TimeZone,
+		Uptime:   time.Since(d.started).Round(time.Second).String(),
+		Regions:  make(map[string][]zone.Name),
+		Requests: do.MustInvoke[*request.Service](d.injector).Stats(),
+	}
+	for r, zones := range d.set.Regions {
+		c.Regions[string(r)] = zones
+	}
+	for _, m := range do.MustInvoke[*link.Members](d.injector).Members() {
+		c.Members = append(c.Members, MemberView{m.ID, string(m.Zone), string(m.Region), string(m.State)})
+	}
+	keys, err := d.keys(ctx)
+	if err != nil {
+		return c, err
+	}
+	c.Keys = keys
+	for dist, b := range do.MustInvoke[*link.Counters](d.injector).Snapshot() {
+		c.Links = append(c.Links, LinkBytes{dist.String(), b.In, b.Out})
+	}
+	sort.Slice(c.Links, func(i, j int) bool { return c.Links[i].Distance < c.Links[j].Distance })
+	return c, nil
+}
+
+// keys returns the keys of the region with their owners.
+func (d *Daemon) keys(ctx context.Context) ([]KeyOwner, error) {
+	hosts, err := do.MustInvoke[platform.HostList](d.injector).Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	claimer := do.MustInvoke[*contract.Claimer](d.injector)
+	topology := do.MustInvoke[*zone.Topology](d.injector)
+	var out []KeyOwner
+	for _, k := range contract.KeySet(hosts, topology, d.set.Region(), d.set.JobShards, d.set.IDShards) {
+		ko := KeyOwner{Key: string(k)}
+		owner, epoch, ok := claimer.Owner(k)
+		if ok {
+			ko.Owner, ko.Epoch = owner, uint64(epoch)
+		}
+		_, ko.Mine = claimer.Tenure(k)
+		out = append(out, ko)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/daemon/api_config.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/do/v2"
+
+	"github.com/sassafraslb/sassafraslb/config"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// maxAwait bounds how long a call may wait for the other daemons.
+const maxAwait = time.Minute
+
+// ChangeBody is a change of the configuration as operators send it.
+type ChangeBody struct {
+	ID      string      `json:"id" doc:"ULID of the caller; a repeat with the same id is settled, not run again"`
+	Base    uint64      `json:"base" doc:"version that the change is based on"`
+	Mode    string      `json:"mode" enum:"strict,merge,sheet"`
+	Day     string      `json:"day,omitempty" doc:"local date from which it holds, 2006-01-02; empty is today"`
+	By      string      `json:"by" minLength:"1" maxLength:"128"`
+	Summary string      `json:"summary,omitempty" maxLength:"1024"`
+	Ops     []config.Op `json:"ops,omitempty" doc:"changes of a strict or merge change"`
+	// Content is the whole content of a day, for a sheet.
+	Content *config.Content `json:"content,omitempty" doc:"whole content of the day, for a sheet"`
+}
+
+// ChangeResult tells what became of a change.
+type ChangeResult struct {
+	Version  uint64 `json:"version"`
+	NoChange bool   `json:"no_change" doc:"the content was in force already"`
+	Repeated bool   `json:"repeated" doc:"the same id was accepted before"`
+}
+
+// VersionInForce is the configuration that one daemon acts on.
+type VersionInForce struct {
+	Daemon      string    `json:"daemon"`
+	Region      string    `json:"region"`
+	Version     uint64    `json:"version"`
+	Since       time.Time `json:"since"`
+	Ready       bool      `json:"ready"`
+	LogReadable bool      `json:"log_readable"`
+	Error       string    `json:"error,omitempty"`
+}
+
+type changeInput struct{ Body ChangeBody }
+type changeOutput struct{ Body ChangeResult }
+type stateOutput struct{ Body *config.State }
+type historyInput struct {
+	Limit int `query:"limit" minimum:"1" maximum:"2000" default:"20"`
+}
+type historyOutput struct{ Body []config.Entry }
+type inForceInput struct {
+	Version uint64 `query:"version" doc:"wait until every daemon has this version; 0 does not wait"`
+	WaitMS  int64  `query:"wait_ms" minimum:"0" maximum:"60000"`
+}
+type inForceOutput struct {
+	Body struct {
+		Daemons []VersionInForce `json:"daemons"`
+		Missing []string         `json:"missing" doc:"daemons that have not confirmed the version asked for"`
+	}
+}
+
+var changeModes = map[string]config.Mode{"strict": config.Strict, "merge": config.Merge, "sheet": config.Sheet}
+
+func (d *Daemon) routeConfig(api huma.API) {
+	store := do.MustInvoke[*config.Store](d.injector)
+	change := operation("change-config", http.MethodPost, "/v1/config/changes", "Publish a change, all or nothing")
+	change.MaxBodyBytes = 32 << 20
+	huma.Register(api, change, d.changeConfig)
+	show := operation("show-config", http.MethodGet, "/v1/config", "Configuration in force on this daemon")
+	huma.Register(api, show, func(context.Context, *struct{}) (*stateOutput, error) {
+		if err := store.Ready(); err != nil {
+			return nil, answer(err)
+		}
+		return &stateOutput{store.Current()}, nil
+	})
+	history := operation("config-history", http.MethodGet, "/v1/config/history", "Accepted changes, newest first")
+	huma.Register(api, history, func(_ context.Context, in *historyInput) (*historyOutput, error) {
+		if err := store.Ready(); err != nil {
+			return nil, answer(err)
+		}
+		return &historyOutput{store.History(in.Limit)}, nil
+	})
+	inForce := operation("config-in-force", http.MethodGet, "/v1/config/in-force", "Version in force on every daemon")
+	huma.Register(api, inForce, d.configInForce)
+}
+
+func (d *Daemon) changeConfig(ctx context.Context, in *changeInput) (*changeOutput, error) {
+	b := &in.Body
+	res, err := do.MustInvoke[*config.Publisher](d.injector).Submit(ctx, config.Proposal{
+		ID: b.ID, Base: config.Version(b.Base), Mode: changeModes[b.Mode], Day: b.Day, Ops: b.Ops,
+		Content: b.Content, By: b.By, Summary: b.Summary,
+	})
+	if err != nil {
+		return nil, answerFor(err, b.ID)
+	}
+	return &changeOutput{ChangeResult{uint64(res.Version), res.NoChange, res.Repeated}}, nil
+}
+
+func (d *Daemon) configInForce(ctx context.Context, in *inForceInput) (*inForceOutput, error) {
+	peers := do.MustInvoke[*config.Peers](d.injector)
+	out := &inForceOutput{}
+	if in.Version > 0 {
+		wait := min(time.Duration(in.WaitMS)*time.Millisecond, maxAwait)
+		waiting, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		for _, m := range peers.Await(waiting, config.Version(in.Version)) {
+			out.Body.Missing = append(out.Body.Missing, m.Daemon)
+		}
+	}
+	own := do.MustInvoke[*config.Store](d.injector).InForce()
+	out.Body.Daemons = append(out.Body.Daemons, VersionInForce{
+		Daemon: d.set.DaemonID, Region: string(d.set.Region()), Version: uint64(own.Version),
+		Since: own.Since, Ready: own.Ready, LogReadable: own.LogErr == nil,
+	})
+	if uint64(own.Version) < in.Version {
+		out.Body.Missing = append(out.Body.Missing, d.set.DaemonID)
+	}
+	for _, v := range peers.Versions(ctx) {
+		out.Body.Daemons = append(out.Body.Daemons, versionOf(v))
+	}
+	return out, nil
+}
+
+func versionOf(v config.PeerVersion) VersionInForce {
+	out := VersionInForce{
+		Daemon: v.Daemon, Region: string(zone.Region(v.Region)), Version: uint64(v.Version),
+		Since: v.Since, Ready: v.Ready, LogReadable: v.LogReadable,
+	}
+	if v.Err != nil {
+		out.Error = v.Err.Error()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cluster/control.go
@@ -0,0 +1,270 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/sassafraslb/sassafraslb/internal/standin"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+const pollPause = 20 * time.Millisecond
+
+// Poll calls fn until it returns nil or ctx ends; then it returns the last error.
+func Poll(ctx context.Context, what string, fn func(context.Context) error) error {
+	for {
+		err := fn(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "gave up waiting for %s", what)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// Send calls an HTTP interface of the cell with in as JSON and decodes the answer into out.
+func (c *Cluster) Send(ctx context.Context, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode")
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if resp.StatusCode >= 300 {
+		return errors.Errorf("%s %s: status %d: %s", method, url, resp.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+// SetHost sets an entry of the host list, with the address that each region has to use.
+func (c *Cluster) SetHost(ctx context.Context, h platform.Host) error {
+	direct := h.Address
+	for r, list := range c.lists {
+		var err error
+		if h.Address, err = c.links.address(direct, c.regionOf(h.Zone), r); err != nil {
+			return err
+		}
+		if err := c.Send(ctx, http.MethodPut, list.URL()+"/v1/hosts/"+h.ID, h, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SetLink changes the link between the regions.
+func (c *Cluster) SetLink(s LinkState) { c.links.set(s) }
+
+// LinkBytes returns the bytes that have crossed regions.
+func (c *Cluster) LinkBytes() int64 { return c.links.bytes() }
+
+func (c *Cluster) regionOf(z zone.Name) zone.Region {
+	for r, zones := range c.opts.Regions {
+		for _, other := range zones {
+			if other == z {
+				return r
+			}
+		}
+	}
+	return ""
+}
+
+// SetLogFaults changes the faults of the log.
+func (c *Cluster) SetLogFaults(ctx context.Context, f standin.LogFaults) error {
+	return c.Send(ctx, http.MethodPut, c.Log.URL()+"/v1/faults", f, nil)
+}
+
+// Ready waits until the daemon says that it is ready.
+func (c *Cluster) Ready(ctx context.Context, n *Node) error {
+	return Poll(ctx, n.ID+" to be ready", func(ctx context.Context) error {
+		return c.Send(ctx, http.MethodGet, n.URL()+"/readyz", nil, nil)
+	})
+}
+
+// Key is the part of a daemon's view of a key that the checks need.
+type Key struct {
+	Key   string `json:"key"`
+	Owner string `json:"owner"`
+	Mine  bool   `json:"mine"`
+}
+
+// Owned waits until every key of the region of n has an owner other than the
+// daemons of except, and that owner says that it may act.
+func (c *Cluster) Owned(ctx context.Context, n *Node, except ...string) error {
+	return Poll(ctx, "owners of all keys near "+n.ID, func(ctx context.Context) error {
+		owners, err := c.keys(ctx, n)
+		if err != nil {
+			return err
+		}
+		acting := make(map[string]map[string]bool)
+		for _, k := range owners {
+			if k.Owner == "" || contains(except, k.Owner) {
+				return errors.Errorf("%s has owner %q", k.Key, k.Owner)
+			}
+			if acting[k.Owner] == nil {
+				if acting[k.Owner], err = c.acting(ctx, k.Owner); err != nil {
+					return err
+				}
+			}
+			if !acting[k.Owner][k.Key] {
+				return errors.Errorf("%s: %s may not act yet", k.Key, k.Owner)
+			}
+		}
+		return nil
+	})
+}
+
+func (c *Cluster) keys(ctx context.Context, n *Node) ([]Key, error) {
+	var cell struct {
+		Keys []Key `json:"keys"`
+	}
+	err := c.Send(ctx, http.MethodGet, n.URL()+"/v1/cell", nil, &cell)
+	return cell.Keys, err
+}
+
+// acting returns the keys for which a daemon says that it may act.
+func (c *Cluster) acting(ctx context.Context, id string) (map[string]bool, error) {
+	for _, n := range c.Daemons {
+		if n.ID != id {
+			continue
+		}
+		keys, err := c.keys(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		out := make(map[string]bool)
+		for _, k := range keys {
+			out[k.Key] = k.Mine
+		}
+		return out, nil
+	}
+	return nil, errors.Errorf("no daemon %s", id)
+}
+
+// WorkerRecords returns the run records of all workers.
+func (c *Cluster) WorkerRecords(ctx context.Context) ([]standin.RunRecord, error) {
+	var all []standin.RunRecord
+	for _, n := range c.Workers {
+		var answer struct {
+			Records []standin.RunRecord `json:"records"`
+		}
+		if err := c.Send(ctx, http.MethodGet, n.URL()+"/v1/records", nil, &answer); err != nil {
+			return nil, err
+		}
+		all = append(all, answer.Records...)
+	}
+	return all, nil
+}
+
+// ExecutorRecords returns the run records of all executors by id.
+func (c *Cluster) ExecutorRecords(ctx context.Context) (map[string]standin.ExecutorRecords, error) {
+	out := make(map[string]standin.ExecutorRecords)
+	for _, n := range c.Executors {
+		var r standin.ExecutorRecords
+		if err := c.Send(ctx, http.MethodGet, n.URL()+"/v1/records", nil, &r); err != nil {
+			return nil, err
+		}
+		out[n.ID] = r
+	}
+	return out, nil
+}
+
+// Metrics returns the metric families of a daemon.
+func (c *Cluster) Metrics(ctx context.Context, n *Node) (map[string]*dto.MetricFamily, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, n.URL()+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	return parser.TextToMetricFamilies(resp.Body)
+}
+
+// Sum adds the values of a counter or gauge whose labels match all of want ("name=value").
+func Sum(families map[string]*dto.MetricFamily, name string, want ...string) float64 {
+	var sum float64
+	f := families[name]
+	if f == nil {
+		return 0
+	}
+	for _, m := range f.Metric {
+		if matches(m, want) {
+			sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	return sum
+}
+
+func matches(m *dto.Metric, want []string) bool {
+	for _, w := range want {
+		name, value, _ := strings.Cut(w, "=")
+		found := false
+		for _, l := range m.Label {
+			found = found || (l.GetName() == name && l.GetValue() == value)
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// DaemonsIn returns the daemons of a region.
+func (c *Cluster) DaemonsIn(r zone.Region) []*Node {
+	var out []*Node
+	for _, n := range c.Daemons {
+		for _, z := range c.opts.Regions[r] {
+			if n.Zone == z {
+				out = append(out, n)
+			}
+		}
+	}
+	return out
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/cluster/load.go
@@ -0,0 +1,152 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/sassafraslb/sassafraslb/client"
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/standin"
+)
+
+// Attempt is one call of a caller and what it was told.
+type Attempt struct {
+	ID      string
+	Class   string
+	Outcome errkind.Outcome // Ran also for a whole answer
+	Answer  bool            // a whole answer came back
+	Own     bool            // the answer was its own
+	Kind    errkind.Kind    // of the refusal; empty if no daemon answered
+	Reason  string
+	Waited  time.Duration // stated by the daemon
+	Took    time.Duration // as the caller saw it
+}
+
+// Load describes callers that send requests one after another.
+type Load struct {
+	Targets  func() []string // base URLs of daemons that the balancer would use
+	Customer string
+	Callers  int
+	Pause    time.Duration // of a caller between two requests
+	Deadline time.Duration
+	// Attempts bounds the calls for one request; repeats of a non-repeatable
+	// request carry the same id and go to the next daemon.
+	Attempts int
+}
+
+var classes = []string{"valuation", "quote", "reconciliation", "nudge", "batch"}
+
+func repeatable(class string) bool { return class != "quote" && class != "nudge" }
+
+// Run sends requests until ctx ends and returns every attempt. Calls that are
+// open when ctx ends are finished.
+func (l *Load) Run(ctx context.Context) []Attempt {
+	var mu sync.Mutex
+	var all []Attempt
+	var wg sync.WaitGroup
+	var turn atomic.Int64
+	for caller := range l.Callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ctx.Err() == nil; n++ {
+				got := l.request(fmt.Sprintf("caller %d request %d", caller, n), classes[(caller+n)%len(classes)], &turn)
+				mu.Lock()
+				all = append(all, got...)
+				mu.Unlock()
+				time.Sleep(l.Pause)
+			}
+		}()
+	}
+	wg.Wait()
+	return all
+}
+
+// request makes up to Attempts calls for one request.
+func (l *Load) request(body, class string, turn *atomic.Int64) []Attempt {
+	var out []Attempt
+	id := ulid.Make().String()
+	for n := 0; n < l.Attempts; n++ {
+		if n > 0 && repeatable(class) {
+			id = ulid.Make().String()
+		}
+		targets := l.Targets()
+		target := targets[int(turn.Add(1))%len(targets)]
+		a := l.call(target, id, class, []byte(body+" id "+id))
+		out = append(out, a)
+		if a.Answer {
+			return out
+		}
+		time.Sleep(50 * time.Millisecond << n)
+	}
+	return out
+}
+
+func (l *Load) call(target, id, class string, body []byte) Attempt {
+	a := Attempt{ID: id, Class: class, Outcome: errkind.Unknown}
+	c, err := client.New(client.Config{Servers: []string{target}, Timeout: l.Deadline + 5*time.Second, HTTP: sharedHTTP})
+	if err != nil {
+		return a
+	}
+	start := time.Now()
+	resp, err := c.Do(context.Background(), client.Request{
+		Method: http.MethodPost, Path: "/v1/requests/" + class, Body: body,
+		Header: http.Header{
+			"Sassafras-Customer": {l.Customer}, "Sassafras-Request-Id": {id},
+			"Sassafras-Deadline-Ms": {strconv.FormatInt(l.Deadline.Milliseconds(), 10)},
+			"Content-Type":          {"application/octet-stream"},
+		},
+	})
+	a.Took = time.Since(start)
+	var refusal *client.Error
+	switch {
+	case err == nil:
+		a.Outcome, a.Answer, a.Own = errkind.Ran, true, bytes.Equal(resp.Body, body)
+		us, _ := strconv.ParseInt(resp.Header.Get("Sassafras-Waited-Us"), 10, 64)
+		a.Waited = time.Duration(us) * time.Microsecond
+	case errors.As(err, &refusal):
+		a.Outcome, a.Kind, a.Reason = refusal.Outcome, refusal.Kind, refusal.Reason
+	}
+	return a
+}
+
+var sharedHTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+
+// CheckAnswers compares what callers were told with what the executors ran.
+func CheckAnswers(attempts []Attempt, records map[string]standin.ExecutorRecords) []string {
+	runs := make(map[string]int)
+	for _, r := range records {
+		for _, run := range r.Runs {
+			runs[run.ID]++
+		}
+	}
+	var out []string
+	last := make(map[string]Attempt)
+	for _, a := range attempts {
+		if a.Answer && !a.Own {
+			out = append(out, fmt.Sprintf("%s %s: answer of another request", a.Class, a.ID))
+		}
+		last[a.ID] = a
+	}
+	for id, a := range last {
+		if !repeatable(a.Class) && runs[id] > 1 {
+			out = append(out, fmt.Sprintf("%s %s ran %d times", a.Class, id, runs[id]))
+		}
+		if a.Outcome == errkind.NotRun && runs[id] > 0 {
+			out = append(out, fmt.Sprintf("%s %s was told not_run (%s %s) but ran", a.Class, id, a.Kind, a.Reason))
+		}
+		if a.Outcome == errkind.Ran && runs[id] == 0 {
+			out = append(out, fmt.Sprintf("%s %s was told ran (%s %s) but did not", a.Class, id, a.Kind, a.Reason))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cluster/process.go
@@ -0,0 +1,90 @@
+package cluster
+
+import (
+	"os"
+	"os/exec"
+	"sort"
+	"syscall"
+
+	"github.com/go-faster/errors"
+
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// process is one started program.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // closed when it has ended
+	err  error         // of its end
+}
+
+// startProcess starts a program with its output appended to a file.
+func startProcess(path, logFile string, args ...string) (*process, error) {
+	out, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log file")
+	}
+	cmd := exec.Command(path, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		_ = out.Close()
+		return nil, errors.Wrap(err, "start "+path)
+	}
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = out.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// signal sends s unless the process has ended.
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Kill ends the process of a node without warning.
+func (n *Node) Kill() { n.proc.kill() }
+
+// Pause stops the process of a node until Resume.
+func (n *Node) Pause() { n.proc.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (n *Node) Resume() { n.proc.signal(syscall.SIGCONT) }
+
+// Stop asks the process of a node to stop as planned and waits for its end.
+func (n *Node) Stop() error {
+	n.proc.signal(syscall.SIGTERM)
+	<-n.proc.done
+	return n.proc.err
+}
+
+// Running reports whether the process of a node has not ended.
+func (n *Node) Running() bool {
+	select {
+	case <-n.proc.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func sortedRegions(m map[zone.Region][]zone.Name) []zone.Region {
+	out := make([]zone.Region, 0, len(m))
+	for r := range m {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
