--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,7 +54,8 @@
 	group, work := errgroup.WithContext(work)
 	for name, run := range d.runners() {
 		group.Go(func() error {
-			if err := run(work); err != nil {
+			// A part that ends with its context has stopped as asked.
+			if err := run(work); err != nil && work.Err() == nil {
 				return errors.Wrap(err, name)
 			}
 			return nil
@@ -111,6 +112,9 @@
 	if err := do.MustInvoke[*request.Service](d.injector).Drain(ctx); err != nil {
 		d.log.Error().Str("event", "drain_limit_reached").Err(err).Send()
 	}
+	// Other daemons may still send calls here until they have read of the handover;
+	// these are refused as not run, which a closed connection could not say.
+	sleep(ctx, d.set.DrainNotice.Std())
 	d.log.Info().Str("event", "drain_finished").Send()
 }
 
--- a/internal/cluster/faults_test.go
+++ b/internal/cluster/faults_test.go
@@ -142,7 +142,7 @@
 	attempts, _ := x.finish()
 	for _, a := range attempts {
 		if a.Outcome == "unknown" {
-			t.Errorf("%s %s: outcome unknown (%s %s) although every stop was planned", a.Class, a.ID, a.Kind, a.Reason)
+			t.Errorf("%s %s: outcome unknown (%s) although every stop was planned", a.Class, a.ID, a.Err)
 		}
 	}
 }
--- a/internal/cluster/load.go
+++ b/internal/cluster/load.go
@@ -27,6 +27,7 @@
 	Own     bool            // the answer was its own
 	Kind    errkind.Kind    // of the refusal; empty if no daemon answered
 	Reason  string
+	Err     string        // what the caller saw instead of an answer
 	Waited  time.Duration // stated by the daemon
 	Took    time.Duration // as the caller saw it
 }
@@ -107,6 +108,9 @@
 		},
 	})
 	a.Took = time.Since(start)
+	if err != nil {
+		a.Err = err.Error()
+	}
 	var refusal *client.Error
 	switch {
 	case err == nil:
