--- a/contract/book_test.go
+++ b/contract/book_test.go
@@ -83,6 +83,12 @@
 	if s := l.book.Key(k); s.Owner != "c" {
 		t.Errorf("owner %q, want c, which the electorate names", s.Owner)
 	}
+	l.add(kindElectorate, electorateRecord{Keys: []epochKey{{Key: k, Epoch: l.book.Key(k).Epoch}}, Daemons: []string{"a"}})
+	l.add(kindJoin, Daemon{ID: "a", Incarnation: 2})
+	l.add(kindClaim, claimRecord{Keys: []claimKey{{Key: k, PrevEpoch: l.book.Key(k).Epoch}}, Daemon: "a", Incarnation: 1})
+	if s := l.book.Key(k); s.Owner != "c" {
+		t.Errorf("a claim of a former incarnation won")
+	}
 }
 
 // addRandom appends a record that some daemon could append, with stale and
--- a/contract/promise_test.go
+++ b/contract/promise_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/rpc"
 )
@@ -112,3 +114,31 @@
 		t.Error("promise given by a daemon whose book is behind the retention limit")
 	}
 }
+
+// Guards against tenure by promises that leaves out a daemon which an unsettled
+// update may have added to the electorate.
+func TestUnsettledElectorateIsAsked(t *testing.T) {
+	k := RackKey("z", "1")
+	l := ownedByB(k)
+	before := cloneKeys(l.book.keys)
+	l.add(kindClaim, claimRecord{Keys: []claimKey{{Key: k, PrevEpoch: 3}}, Daemon: "a", Incarnation: 1, Electorate: []string{"b"}})
+	c := unitClaimer(l)
+	c.noteChanges(before, time.Now())
+	c.confirmed = time.Now().Add(-time.Hour)
+	c.doubts.add("update", k, 4, []string{"a", "z"}, time.Now())
+	asked := func() []string {
+		keys := c.unconfirmed(time.Now())
+		if len(keys) != 1 {
+			t.Fatalf("%d keys to confirm, want 1", len(keys))
+		}
+		return keys[0].members
+	}
+	if diff := cmp.Diff([]string{"b", "z"}, asked()); diff != "" {
+		t.Error(diff)
+	}
+	c.doubts.settle("update")
+	c.gone["b"] = true
+	if m := asked(); len(m) != 0 {
+		t.Errorf("%v asked, but the update is settled and b is gone", m)
+	}
+}
