--- a/contract/cell_test.go
+++ b/contract/cell_test.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return d.logBytes.Wrap(conn, zone.SameZone), nil
+	return d.logBytes.Count(conn, zone.SameZone), nil
 }
 
 func (c *cell) dial(d *daemon) func(context.Context, string) (net.Conn, error) {
--- /dev/null
+++ b/job/carry.go
@@ -0,0 +1,82 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/platform"
+)
+
+const (
+	// carryBatch bounds the records that are carried forward in one append.
+	carryBatch = 64
+	// carryPoll is how often the position of the log is looked at.
+	carryPoll = 50 * time.Millisecond
+	// carryParts divides what the log keeps: after each part, records in the older
+	// half are carried, which leaves several tries before they are dropped.
+	carryParts = 8
+)
+
+// carryLoop appends the records of jobs anew before the log drops them. It looks
+// through the jobs when time has passed or a part of what the log keeps was
+// written since.
+func (sh *shard) carryLoop() {
+	every := min(sh.s.cfg.CarryAfter/20, 10*time.Second)
+	var last time.Time
+	var seen platform.Offset
+	for sleep(sh.ctx, carryPoll) {
+		oldest, next := sh.journal.position()
+		moved := oldest > 0 && next-seen > (next-oldest)/carryParts
+		if now := sh.s.cfg.Now(); sh.tenure() && (moved || now.Sub(last) >= every) {
+			sh.carry()
+			last, seen = now, next
+		}
+	}
+}
+
+// carry appends the records that are due.
+func (sh *shard) carry() {
+	for sh.tenure() {
+		bodies := sh.due()
+		if len(bodies) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(sh.ctx, 10*time.Second)
+		err := sh.journal.appendAll(ctx, recordCarried, bodies)
+		cancel()
+		if err != nil {
+			sh.s.counts.inc("carry_failed", errkind.ReasonOf(err))
+			return
+		}
+		sh.s.counts.add("carried", "", len(bodies))
+		if len(bodies) < carryBatch {
+			return
+		}
+	}
+}
+
+// due returns the next records to carry forward and forgets ended jobs after
+// KeepEnded. A record is due when it is old, or in the older half of what a log
+// that already drops records still holds.
+func (sh *shard) due() []record {
+	oldest, next := sh.journal.position()
+	now := sh.s.cfg.Now()
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	var out []record
+	for id, j := range sh.jobs {
+		if j.final() && now.Sub(j.endedAt) > sh.s.cfg.KeepEnded && len(j.flights) == 0 {
+			delete(sh.jobs, id)
+			continue
+		}
+		old := now.Sub(j.recordedAt) > sh.s.cfg.CarryAfter
+		low := oldest > 0 && j.offset < oldest+(next-oldest)/2
+		if (old || low) && len(out) < carryBatch {
+			r := j.carried(string(sh.key))
+			r.Carried = now
+			out = append(out, r)
+		}
+	}
+	return out
+}
