--- a/contract/cell_test.go
+++ b/contract/cell_test.go
@@ -33,6 +33,9 @@
 	topology  *zone.Topology
 	daemons   map[string]*daemon
 	configure func(*contract.Config)
+
+	byAddress   sync.Map    // address -> *daemon
+	partitioned atomic.Bool // nothing passes between the regions
 }
 
 type daemon struct {
@@ -42,9 +45,9 @@
 	grants   *contract.Grants
 	counters *link.Counters
 	server   *link.Server
-	relayLog *link.Log
-	logCut   atomic.Bool // this daemon cannot reach the log
-	isolated atomic.Bool // its peer connections are silent and cannot be opened
+	logBytes link.Counters // of the HTTP connections to the log, under SameZone
+	logCut   atomic.Bool   // this daemon cannot reach the log
+	isolated atomic.Bool   // its peer connections are silent and cannot be opened
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 }
@@ -120,10 +123,10 @@
 		HeartbeatInterval: 50 * time.Millisecond, SuspectAfter: 400 * time.Millisecond, SilentAfter: 250 * time.Millisecond,
 		ProbeTimeout: 200 * time.Millisecond, DialTimeout: 200 * time.Millisecond, Stability: 500 * time.Millisecond,
 		StabilityMax: 10 * time.Second, Dial: c.dial(d)})
-	client := &http.Client{Transport: gatedTransport{&d.logCut, &http.Transport{}}}
+	client := &http.Client{Transport: gatedTransport{&d.logCut, &http.Transport{DialContext: d.dialLog}}}
 	direct := platform.NewLogClient(platform.ClientConfig{BaseURL: c.logURL, HTTP: client})
-	d.relayLog = link.NewLog(link.LogConfig{Direct: direct, Peers: d.members, LogRegion: "lombardy"})
-	cfg := contract.Config{Members: d.members, Incarnation: incarnation, Log: d.relayLog,
+	cfg := contract.Config{Members: d.members, Incarnation: incarnation,
+		Log:   link.NewLog(link.LogConfig{Direct: direct, Peers: d.members, LogRegion: "lombardy"}),
 		Hosts: platform.NewHostClient(platform.ClientConfig{BaseURL: c.hostsURL}), Topology: c.topology,
 		JobShards: 4, IDShards: 4, Tenure: 500 * time.Millisecond, TakeoverWait: 700 * time.Millisecond, RankDelay: 150 * time.Millisecond,
 		Tick: 20 * time.Millisecond, PollWait: 100 * time.Millisecond, HostsInterval: 100 * time.Millisecond, BalanceInterval: 300 * time.Millisecond,
@@ -143,14 +146,24 @@
 		}
 	}
 	c.daemons[fmt.Sprint(id, "#", incarnation)] = d
+	c.byAddress.Store(self.Address, d)
 	c.hosts.Set(platform.Host{ID: id, Kind: platform.DaemonHost, Address: self.Address, Zone: z, State: platform.Live})
 	d.run(d.server.Run, d.members.Run, d.claimer.Run, d.grants.Run)
 	return d
 }
 
+// dialLog counts the bytes to and from the log.
+func (d *daemon) dialLog(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return d.logBytes.Count(conn, zone.SameZone), nil
+}
+
 func (c *cell) dial(d *daemon) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		cut := func() bool { return d.isolated.Load() || c.isolatedAddress(address) }
+		cut := func() bool { return c.separated(d, address) }
 		if cut() {
 			return nil, errors.New("connection refused by the test")
 		}
@@ -162,6 +175,16 @@
 	}
 }
 
+// separated reports whether nothing passes between a daemon and an address.
+func (c *cell) separated(d *daemon, address string) bool {
+	other, ok := c.byAddress.Load(address)
+	if !ok {
+		return d.isolated.Load()
+	}
+	o := other.(*daemon)
+	return d.isolated.Load() || o.isolated.Load() || (c.partitioned.Load() && d.members.Self().Region != o.members.Self().Region)
+}
+
 // run starts parts of the daemon until stop.
 func (d *daemon) run(parts ...func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -177,20 +200,8 @@
 	d.wg.Wait()
 }
 
-// isolatedAddress is called from many goroutines; daemons are looked up under a lock.
-func (c *cell) isolatedAddress(address string) bool {
-	v, ok := isolatedAddresses.Load(address)
-	return ok && v.(*atomic.Bool).Load()
-}
-
-var isolatedAddresses sync.Map // address -> *atomic.Bool
-
-// isolate cuts a daemon off from its peers and from the log, or ends that.
-func (d *daemon) isolate(on bool) {
-	isolatedAddresses.Store(d.members.Self().Address, &d.isolated)
-	d.isolated.Store(on)
-	d.logCut.Store(on)
-}
+// isolatePeers cuts a daemon off from its peers, or ends that.
+func (d *daemon) isolatePeers(on bool) { d.isolated.Store(on) }
 
 // eventually polls until cond holds.
 func eventually(t testing.TB, what string, cond func() bool) {
