--- /dev/null
+++ b/request/chaos_test.go
@@ -0,0 +1,99 @@
+package request
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/standin"
+	"github.com/sassafraslb/sassafraslb/link"
+)
+
+// Guards against untrue answers while executors fail, groups and shards move, a
+// link goes silent and a daemon dies: nothing that was called "not run" ran, no
+// quote ran twice, and every answer is the caller's own.
+func TestChaosAnswersAreTrue(t *testing.T) {
+	c, ds := threeDaemons(t, standin.ExecutorConfig{Slots: 4, ServiceTime: 5 * time.Millisecond, Exponential: true}, nil)
+	rng := rand.New(rand.NewPCG(3, 3))
+	type told struct {
+		class Class
+		err   error
+	}
+	var mu sync.Mutex
+	results := map[string][]told{}
+	call := func(d *daemon, class Class, id string) {
+		a, err := do(d, class, id, id, 1500*time.Millisecond)
+		if err == nil && (string(a.Body) != id || a.ID != id) {
+			t.Errorf("request %s got the answer %s", id, a.Body)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		results[id] = append(results[id], told{class, err})
+	}
+	faults := []standin.ExecutorFaults{{}, {FailFast: 0.5}, {CrossID: true}, {Truncate: true}, {LateMS: 300}, {Silent: true}, {Slow: 20}}
+	groups := []contract.Key{contract.ExecKey("w1", "a"), contract.ExecKey("w2", "b")}
+	var wg sync.WaitGroup
+	for step := range 60 {
+		for range 10 {
+			d, class, id := ds[rng.IntN(2)], []Class{Valuation, Quote, Nudge}[rng.IntN(3)], ulid.Make().String()
+			repeat := ds[rng.IntN(2)]
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				call(d, class, id)
+				if !class.Repeatable() {
+					call(repeat, class, id)
+				}
+			}()
+		}
+		hosts, _ := c.Hosts(t.Context())
+		c.execs[hosts[rng.IntN(len(hosts))].ID].SetFaults(faults[rng.IntN(len(faults))])
+		switch {
+		case step == 30: // d3 dies with the groups that it may hold
+			c.setMember("d3", link.Dead)
+			ds[2].stop()
+			for _, k := range groups {
+				c.own("d1", k)
+			}
+		case step%7 == 3:
+			c.own([]string{"d1", "d2", "d3"}[rng.IntN(2+max(0, 1-step/30))], groups[rng.IntN(2)])
+		case step%13 == 5:
+			c.own([]string{"d1", "d2"}[rng.IntN(2)], contract.IDsKey("west", rng.IntN(4)))
+		case step%20 == 10:
+			ds[1].silence.Store(new(chan struct{}))
+		case step%20 == 12:
+			ds[1].silence.Store(nil)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	c.faults(standin.ExecutorFaults{})
+	for _, d := range ds[:2] {
+		if err := d.svc.Drain(t.Context()); err != nil {
+			t.Error(err)
+		}
+	}
+	runs, answered := c.runs(), 0
+	for id, list := range results {
+		for _, r := range list {
+			if r.err == nil {
+				answered++
+			}
+			if errkind.AnswerOf(r.err).Outcome == errkind.NotRun && r.err != nil && runs[id] > 0 {
+				t.Errorf("%s %s was called not run (%v) but ran %d times", r.class, id, r.err, runs[id])
+			}
+			if !r.class.Repeatable() && runs[id] > 1 {
+				t.Errorf("%s %s ran %d times", r.class, id, runs[id])
+			}
+		}
+	}
+	if answered < len(results)/4 {
+		t.Errorf("only %d calls were answered for %d ids", answered, len(results))
+	}
+	c.withinLimits(4)
+}
--- a/request/failures_test.go
+++ b/request/failures_test.go
@@ -204,36 +204,63 @@
 func TestEjectionIsBoundedAndEnds(t *testing.T) {
 	c, d1, _ := oneGroup(t, 6, standin.ExecutorConfig{Slots: 2, ServiceTime: 2 * time.Millisecond}, nil)
 	c.execs["x0"].SetFaults(standin.ExecutorFaults{FailFast: 1})
-	failed := 0
+	out := func() (n int) {
+		for _, x := range d1.svc.Stats().Groups[0].Executors {
+			if x.Health != "healthy" {
+				n++
+			}
+		}
+		return n
+	}
+	failed, ejected := 0, false
 	for range 100 {
+		ejected = ejected || out() == 1
 		if _, err := do(d1, Valuation, "", "x", 5*time.Second); errkind.Of(err) == errkind.UpstreamFailed {
 			failed++
 		}
 	}
-	if failed == 0 || failed > 15 {
-		t.Errorf("%d of 100 calls failed on 1 of 6 executors", failed)
+	if failed == 0 || failed > 15 || !ejected {
+		t.Errorf("%d of 100 calls failed on 1 of 6 executors, ejected: %v", failed, ejected)
 	}
 	c.faults(standin.ExecutorFaults{FailFast: 1})
 	for range 100 {
 		_, _ = do(d1, Valuation, "", "x", 5*time.Second)
-		out := 0
-		for _, x := range d1.svc.Stats().Groups[0].Executors {
-			if x.Health != "healthy" {
-				out++
-			}
-		}
-		if out > 2 {
-			t.Fatalf("%d of 6 executors ejected", out)
+		if n := out(); n > 2 {
+			t.Fatalf("%d of 6 executors ejected", n)
 		}
 	}
 	c.faults(standin.ExecutorFaults{})
 	eventually(t, "all executors are healthy again", func() bool {
 		_, _ = do(d1, Valuation, "", "x", 5*time.Second)
-		for _, x := range d1.svc.Stats().Groups[0].Executors {
-			if x.Health != "healthy" {
-				return false
-			}
+		return out() == 0
+	})
+	c.execs["x1"].SetFaults(standin.ExecutorFaults{Slow: 20})
+	eventually(t, "the slow executor is ejected", func() bool {
+		for range 6 {
+			go func() { _, _ = do(d1, Valuation, "", "x", 5*time.Second) }()
 		}
-		return true
+		return d1.svc.Stats().Groups[0].Executors[1].Health == "ejected"
 	})
 }
+
+// Guards against an executor that takes most of the calls by failing fast, in a
+// group that is too small for ejection.
+func TestFailingFastAttractsNoLoad(t *testing.T) {
+	c, d1, _ := oneGroup(t, 2, standin.ExecutorConfig{Slots: 2, ServiceTime: 20 * time.Millisecond}, nil)
+	c.execs["x0"].SetFaults(standin.ExecutorFaults{FailFast: 1})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range 25 {
+				_, _ = do(d1, Valuation, "", "x", 9*time.Second)
+			}
+		}()
+	}
+	wg.Wait()
+	bad, good := len(c.execs["x0"].Records().Runs), len(c.execs["x1"].Records().Runs)
+	if bad > 2*good {
+		t.Errorf("%d runs on the failing executor, %d on the other", bad, good)
+	}
+}
