--- a/job/failover_test.go
+++ b/job/failover_test.go
@@ -156,6 +156,74 @@
 	}
 }
 
+// runsOn returns a worker of a rack on which a task runs.
+func (c *cell) runsOn(rack byte) string {
+	c.t.Helper()
+	for _, r := range c.records() {
+		if r.Worker[0] == rack && r.EndUS == 0 {
+			return r.Worker
+		}
+	}
+	c.t.Fatalf("no task runs on rack %c", rack)
+	return ""
+}
+
+// moved waits until n tasks run on other workers than this one.
+func (c *cell) moved(worker string, n int) {
+	c.t.Helper()
+	eventually(c.t, "all tasks run on other workers", func() bool {
+		elsewhere := 0
+		for _, r := range c.records() {
+			if r.Worker != worker && r.EndUS == 0 {
+				elsewhere++
+			}
+		}
+		return elsewhere == n
+	})
+}
+
+// Guards against an old owner that goes on renewing a worker which only it can
+// reach, while the successor takes the lease for lapsed.
+func TestPartitionedOwnerStopsRenewing(t *testing.T) {
+	c := newCell(t, 3, 2, 2)
+	d := c.daemons[2]
+	service := testJob("service", workload.Service, 6, 1000, 0)
+	c.submit(d, service)
+	c.awaitRunning(d, service, 6)
+	victim := c.runsOn('a')
+	for _, o := range c.daemons[1:] {
+		o.gate.cutOff(c.address(victim))
+	}
+	c.daemons[0].partition()
+	c.reg.give(c.daemons[1], testTakeover, c.racks[0])
+	c.moved(victim, 6)
+	c.check()
+}
+
+// Guards against a renewal that a pause has delayed: it must not extend a lease
+// beyond the time after which the successor takes it for lapsed.
+func TestDelayedRenewalExtendsNoLease(t *testing.T) {
+	c := newCell(t, 3, 2, 2)
+	d := c.daemons[2]
+	service := testJob("service", workload.Service, 6, 1000, 0)
+	c.submit(d, service)
+	c.awaitRunning(d, service, 6)
+	victim := c.runsOn('a')
+	for _, o := range c.daemons[1:] {
+		o.gate.cutOff(c.address(victim))
+	}
+	c.daemons[0].freeze()
+	c.reg.give(c.daemons[1], testTakeover, c.racks[0])
+	// The held renewal arrives when the lease is about to lapse.
+	time.Sleep(testLease * 3 / 4)
+	if c.daemons[0].gate.heldRequests() == 0 {
+		t.Error("no renewal was held back, so the test shows nothing")
+	}
+	c.daemons[0].gate.open()
+	c.moved(victim, 6)
+	c.check()
+}
+
 // Guards against jobs that are lost, doubled or run again when the job scheduler
 // is replaced while placements are in flight.
 func TestJobSchedulerReplaced(t *testing.T) {
--- a/job/faults_test.go
+++ b/job/faults_test.go
@@ -80,16 +80,18 @@
 		}
 		return n == batch.Count
 	})
+	// The job scheduler dies before it could record an end. The workers must keep
+	// the results until a successor has recorded them.
+	time.Sleep(3 * testRenew)
+	c.daemons[1].kill()
 	c.log.set(func(l *memLog) { l.down = false })
+	c.reg.give(d, testTakeover, c.shard())
 	c.awaitState(d, batch, Finished)
 	for _, r := range c.records() {
 		if r.Job == refused.ID {
 			t.Errorf("a job that was not accepted ran on %s", r.Worker)
 		}
 	}
-	// The ends that were known during the outage are in the log now.
-	c.reg.give(c.daemons[0], testTakeover, c.shard())
-	c.awaitState(d, batch, Finished)
 	c.finishedOnce([]workload.Job{batch})
 	c.check()
 }
