--- a/job/cell_test.go
+++ b/job/cell_test.go
@@ -28,7 +28,8 @@
 
 // cell is a whole cell of one region.
 type cell struct {
-	t       *testing.T
+	t       testing.TB
+	change  func(*RackConfig)
 	reg     *registry
 	log     *memLog
 	hosts   *hostList
@@ -74,10 +75,16 @@
 
 // newCell starts daemons over racks of workers. Daemon i owns rack i; the last
 // daemon owns the one job shard.
-func newCell(t *testing.T, daemons, racks, perRack int) *cell {
+func newCell(t testing.TB, daemons, racks, perRack int) *cell {
+	t.Helper()
+	return newCellWith(t, daemons, racks, perRack, func(*RackConfig) {})
+}
+
+// newCellWith is newCell with a change to the configuration of the rack owners.
+func newCellWith(t testing.TB, daemons, racks, perRack int, change func(*RackConfig)) *cell {
 	t.Helper()
 	c := &cell{
-		t: t, reg: &registry{epoch: 10, keys: make(map[contract.Key]claim), daemons: make(map[string]*daemon)},
+		t: t, change: change, reg: &registry{epoch: 10, keys: make(map[contract.Key]claim), daemons: make(map[string]*daemon)},
 		log: newMemLog(), hosts: &hostList{}, wants: &intentions{}, workers: make(map[string]*standin.Worker),
 	}
 	for r := range racks {
@@ -140,12 +147,14 @@
 	d.gate = &gate{next: &http.Transport{MaxIdleConnsPerHost: 4}}
 	engine := func() Engine { return placement.New(placement.Config{BackoffBase: 20 * time.Millisecond}) }
 	logger := zerolog.Nop()
-	d.rack = NewRack(RackConfig{
+	cfg := RackConfig{
 		Ownership: d, Peers: d, Hosts: c.hosts, Topology: top, Region: "north", NewEngine: engine, Shards: 1,
 		Lease: testLease, RenewEvery: testRenew, ProbeEvery: 100 * time.Millisecond, WorkerTimeout: time.Second,
 		ReportEvery: 10 * time.Millisecond, ReportAgain: 100 * time.Millisecond, HostsEvery: 100 * time.Millisecond,
 		NewTransport: func() http.RoundTripper { return d.gate }, Logger: logger,
-	})
+	}
+	c.change(&cfg)
+	d.rack = NewRack(cfg)
 	d.sched = NewScheduler(SchedulerConfig{
 		Ownership: d, Peers: d, Hosts: c.hosts, Log: c.log, Topology: top, Region: "north", Intentions: c.wants,
 		NewEngine: engine, Shards: 1, RetryEvery: 50 * time.Millisecond, HostsEvery: 100 * time.Millisecond,
--- a/job/checker_test.go
+++ b/job/checker_test.go
@@ -16,7 +16,7 @@
 const waitLimit = 60 * time.Second
 
 // eventually polls until ok returns true.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if ok() {
--- a/job/fakelog_test.go
+++ b/job/fakelog_test.go
@@ -90,3 +90,9 @@
 		}
 	}
 }
+
+func (l *memLog) appendCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
--- a/job/faults_test.go
+++ b/job/faults_test.go
@@ -201,19 +201,9 @@
 	for i := range wave {
 		jobs = append(jobs, testJob(fmt.Sprintf("wave-%d", i), workload.Batch, 1, 1000, time.Hour))
 	}
-	each := func(fn func(workload.Job)) {
-		var wg sync.WaitGroup
-		slots := make(chan struct{}, 256)
-		for _, j := range jobs {
-			slots <- struct{}{}
-			wg.Go(func() { fn(j); <-slots })
-		}
-		wg.Wait()
-	}
-	each(func(j workload.Job) { c.submit(d, j) })
-	var appends int
-	c.log.set(func(l *memLog) { appends = l.appends })
-	each(func(j workload.Job) {
+	parallel(jobs, func(j workload.Job) { c.submit(d, j) })
+	before := c.log.appendCount()
+	parallel(jobs, func(j workload.Job) {
 		if _, err := d.sched.Cancel(context.Background(), j.Team, j.ID); err != nil {
 			t.Errorf("cancel %s: %v", j.ID, err)
 		}
@@ -221,8 +211,7 @@
 	for _, j := range jobs {
 		c.awaitState(d, j, Cancelled)
 	}
-	c.log.set(func(l *memLog) { appends = l.appends - appends })
-	if appends > wave/10 {
+	if appends := c.log.appendCount() - before; appends > wave/10 {
 		t.Errorf("%d cancellations took %d appends", wave, appends)
 	}
 	for _, r := range c.records() {
--- /dev/null
+++ b/machine/worker_test.go
@@ -0,0 +1,104 @@
+package machine
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+// Guards against a command that may have taken effect and is taken for not done.
+func TestCertainAndUnknownOutcomes(t *testing.T) {
+	var status int
+	var body string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/renew" {
+			_ = json.NewEncoder(w).Encode(RenewReply{ClockMS: 1000})
+			return
+		}
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	defer srv.Close()
+	now := time.Now()
+	cfg := WorkerConfig{
+		Address: srv.Listener.Addr().String(), Epoch: 7,
+		Now:    func() time.Time { return now },
+		Tenure: func() (time.Time, bool) { return now.Add(time.Second), true },
+	}
+	c := NewWorkerClient(cfg)
+	if _, err := c.Start(context.Background(), TaskStart{}); errkind.Of(err) != errkind.NotReady {
+		t.Errorf("start before the clock is known: %v", err)
+	}
+	if _, err := c.Inventory(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []struct {
+		status int
+		body   string
+		want   errkind.Kind
+	}{
+		{409, `{"reason":"stale_epoch"}`, errkind.StaleEpoch},
+		{409, `{"reason":"expired_command"}`, errkind.Conflict},
+		{409, `{"reason":"no_capacity"}`, errkind.NoCapacity},
+		{400, `nonsense`, errkind.Conflict},
+		{500, ``, errkind.OutcomeUnknown},
+		{0, ``, errkind.OutcomeUnknown},
+	} {
+		status, body = s.status, s.body
+		if _, err := c.Start(context.Background(), TaskStart{}); errkind.Of(err) != s.want {
+			t.Errorf("status %d %s: got %v, want %s", s.status, s.body, err, s.want)
+		}
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Address = ln.Addr().String()
+	_ = ln.Close()
+	if _, err := NewWorkerClient(cfg).Inventory(context.Background()); errkind.Of(err) != errkind.Unreachable {
+		t.Errorf("closed port: %v", err)
+	}
+	now = now.Add(2 * time.Second)
+	cfg.Address = srv.Listener.Addr().String()
+	cfg.Tenure = func() (time.Time, bool) { return now.Add(-time.Millisecond), true }
+	if _, err := NewWorkerClient(cfg).Inventory(context.Background()); errkind.Of(err) != errkind.NotOwner {
+		t.Errorf("passed tenure: %v", err)
+	}
+}
+
+// Guards against a not_after_ms that ignores the drift or the age of the answer.
+func TestNotAfterInWorkerClock(t *testing.T) {
+	var got StartRequest
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/renew" {
+			_ = json.NewEncoder(w).Encode(RenewReply{ClockMS: 50_000})
+			return
+		}
+		_ = json.NewDecoder(r.Body).Decode(&got)
+	}))
+	defer srv.Close()
+	now := time.Now()
+	deadline := now.Add(10 * time.Second)
+	c := NewWorkerClient(WorkerConfig{
+		Address: srv.Listener.Addr().String(), Epoch: 7, Drift: 0.1,
+		Now:    func() time.Time { return now },
+		Tenure: func() (time.Time, bool) { return deadline, true },
+	})
+	if _, err := c.Inventory(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(4 * time.Second) // the age of the answer does not move the deadline
+	notAfter, err := c.Start(context.Background(), TaskStart{})
+	if err != nil || notAfter != 59_000 || got.NotAfterMS != 59_000 || got.Epoch != 7 {
+		t.Errorf("not after %d, sent %+v, err %v; want 59000", notAfter, got, err)
+	}
+}
