--- a/job/calls_test.go
+++ b/job/calls_test.go
@@ -18,7 +18,8 @@
 	rpc.DRPCRackOwnerServer
 	rack              contract.Key
 	mu                sync.Mutex
-	reserves, commits int // refusals left
+	reserves, commits int  // refusals left
+	hold              bool // commits wait until the caller gives up
 }
 
 func (r *refusing) refuse(left *int, c *rpc.Call) error {
@@ -39,6 +40,10 @@
 }
 
 func (r *refusing) Commit(ctx context.Context, req *rpc.CommitRequest) (*rpc.PlaceReply, error) {
+	if r.hold && req.GetCall().GetRack() == string(r.rack) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if err := r.refuse(&r.commits, req.GetCall()); err != nil {
 		return nil, err
 	}
@@ -75,6 +80,30 @@
 	}
 }
 
+// Guards against a gang that is completed member by member after its job
+// scheduler died between two commits.
+func TestGangFoundIncompleteStartsAnew(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	c.reg.give(c.daemons[0], testTakeover, c.racks[1], c.shard())
+	old := c.daemons[0]
+	old.sched.local = &refusing{DRPCRackOwnerServer: old.rack, rack: c.racks[1], hold: true}
+	gang := testJob("gang", workload.Gang, 16, 1000, 0)
+	c.submit(old, gang)
+	eventually(t, "the first rack has started its part", func() bool { return len(c.records()) == 8 })
+	c.reg.give(c.daemons[1], testTakeover, c.shard())
+	c.awaitRunning(c.daemons[1], gang, 16)
+	stopped := 0
+	for _, r := range c.records() {
+		if r.State == workload.Stopped {
+			stopped++
+		}
+	}
+	if stopped < 8 {
+		t.Errorf("%d of the 8 members that ran alone were stopped", stopped)
+	}
+	c.check()
+}
+
 // Guards against a task that runs on because its stop was lost once.
 func TestStopIsRepeated(t *testing.T) {
 	c := newCell(t, 2, 1, 1)
--- a/job/carry.go
+++ b/job/carry.go
@@ -10,7 +10,8 @@
 
 const (
 	// carryBatch bounds the records that are carried forward in one append.
-	carryBatch = 64
+	// Each batch looks through all jobs of the shard.
+	carryBatch = 500
 	// carryPoll is how often the position of the log is looked at.
 	carryPoll = 50 * time.Millisecond
 	// carryParts divides what the log keeps: after each part, records in the older
--- a/job/cell_test.go
+++ b/job/cell_test.go
@@ -158,7 +158,7 @@
 	d.sched = NewScheduler(SchedulerConfig{
 		Ownership: d, Peers: d, Hosts: c.hosts, Log: c.log, Topology: top, Region: "north", Intentions: c.wants,
 		NewEngine: engine, Shards: 1, RetryEvery: 50 * time.Millisecond, HostsEvery: 100 * time.Millisecond,
-		ReconcileEvery: 50 * time.Millisecond, CallTimeout: time.Second, Logger: logger,
+		ReconcileEvery: 50 * time.Millisecond, CallTimeout: time.Second, AdoptEvery: 200 * time.Millisecond, Logger: logger,
 	})
 	Join(d.rack, d.sched)
 	mux := drpcmux.New()
--- a/job/rack.go
+++ b/job/rack.go
@@ -43,6 +43,9 @@
 	// DeltaBytesPerSecond bounds the capacity deltas of this daemon. Default 2048.
 	DeltaBytesPerSecond int
 	Drift               float64 // default machine.ClockDrift
+	// Draining reports whether the configuration takes a worker out of use.
+	// Default: none.
+	Draining func(h platform.Host) bool
 	// NewTransport makes the HTTP transport of one worker. Default: one
 	// connection per worker.
 	NewTransport func() http.RoundTripper
@@ -64,6 +67,9 @@
 	def(&c.HostsEvery, 2*time.Second)
 	def(&c.DeltaBytesPerSecond, 2048)
 	def(&c.Drift, machine.ClockDrift)
+	if c.Draining == nil {
+		c.Draining = func(platform.Host) bool { return false }
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/job/rack_report.go
+++ b/job/rack_report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,29 +16,51 @@
 // maxReportEvents bounds one report.
 const maxReportEvents = 512
 
-// report sends the news of the rack to every job scheduler of the region.
-func (t *rackTenure) report() {
+// report sends the news of the rack to every job scheduler of the region. One
+// that does not answer does not hold up the others.
+func (t *rackTenure) report(reports *sync.WaitGroup) {
 	if _, ok := t.deadline(); !ok {
 		return
 	}
 	for _, shard := range t.reportShards() {
-		req := t.collect(shard)
-		if len(req.Events)+len(req.Nodes) == 0 {
-			continue
-		}
 		owner, _, ok := t.rack.cfg.Ownership.Owner(contract.Key(shard))
 		if !ok || owner == "" {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(t.ctx, t.rack.cfg.WorkerTimeout)
-		reply, err := t.rack.sendReport(ctx, owner, req)
-		cancel()
-		if err != nil {
-			t.rack.counts.inc("report_failed", errkind.ReasonOf(err))
+		t.mu.Lock()
+		busy := t.reporting[shard]
+		t.mu.Unlock()
+		if busy {
 			continue
 		}
-		t.reported(shard, req, reply)
+		req := t.collect(shard)
+		if len(req.Events)+len(req.Nodes) == 0 {
+			continue
+		}
+		t.setReporting(shard, true)
+		reports.Go(func() {
+			defer t.setReporting(shard, false)
+			t.reportTo(owner, req)
+		})
+	}
+}
+
+func (t *rackTenure) setReporting(shard string, on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reporting[shard] = on
+}
+
+func (t *rackTenure) reportTo(owner string, req *rpc.ReportRequest) {
+	ctx, cancel := context.WithTimeout(t.ctx, t.rack.cfg.WorkerTimeout)
+	defer cancel()
+	t.rack.counts.add("report_bytes", "", proto.Size(req))
+	reply, err := t.rack.sendReport(ctx, owner, req)
+	if err != nil {
+		t.rack.counts.inc("report_failed", errkind.ReasonOf(err))
+		return
 	}
+	t.reported(req.GetShard(), req, reply)
 }
 
 func (r *Rack) sendReport(ctx context.Context, owner string, req *rpc.ReportRequest) (*rpc.ReportReply, error) {
@@ -79,7 +102,8 @@
 func (t *rackTenure) collect(shard string) *rpc.ReportRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	req := &rpc.ReportRequest{Rack: string(t.key), RackEpoch: uint64(t.epoch), Shard: shard}
+	t.revision++
+	req := &rpc.ReportRequest{Rack: string(t.key), RackEpoch: uint64(t.epoch), Shard: shard, Revision: t.revision}
 	now := t.rack.cfg.Now()
 	view := t.shard(shard)
 	ids := make([]string, 0, len(t.workers))
--- a/job/rack_serve.go
+++ b/job/rack_serve.go
@@ -232,7 +232,8 @@
 		return nil, toWire(err)
 	}
 	shard, now := req.GetCall().GetShard(), r.cfg.Now()
-	reply := &rpc.AdoptReply{RackEpoch: uint64(t.epoch)}
+	t.revision++
+	reply := &rpc.AdoptReply{RackEpoch: uint64(t.epoch), Revision: t.revision}
 	for id, w := range t.workers {
 		reply.Nodes = append(reply.Nodes, t.node(w, shard))
 		if !w.settled(now) {
--- a/job/rack_tenure.go
+++ b/job/rack_tenure.go
@@ -29,7 +29,9 @@
 	workers      map[string]*worker
 	shards       map[string]*shardView
 	reservations map[string]*reservation
-	deltaStart   int // worker at which the next capacity delta starts
+	revision     uint64          // of the last report or adoption
+	reporting    map[string]bool // shards with a report under way
+	deltaStart   int             // worker at which the next capacity delta starts
 }
 
 // shardView is what the rack owner knows about one job scheduler.
@@ -50,6 +52,7 @@
 	return &rackTenure{
 		rack: r, key: k, epoch: e, ctx: ctx,
 		workers: make(map[string]*worker), shards: make(map[string]*shardView), reservations: make(map[string]*reservation),
+		reporting: make(map[string]bool),
 	}
 }
 
@@ -101,10 +104,12 @@
 
 // run sends reports until the tenure ends.
 func (t *rackTenure) run() {
+	var reports sync.WaitGroup
 	for sleep(t.ctx, t.rack.cfg.ReportEvery) {
 		t.expireReservations()
-		t.report()
+		t.report(&reports)
 	}
+	reports.Wait()
 	t.mu.Lock()
 	t.closed = true
 	t.mu.Unlock()
@@ -187,7 +192,7 @@
 	switch {
 	case !w.reachable:
 		return nil, "worker_unreachable"
-	case w.leaving:
+	case w.leaving || t.rack.cfg.Draining(w.host):
 		return nil, "worker_leaving"
 	}
 	h := &held{worker: w, task: task, state: state}
@@ -247,6 +252,6 @@
 	}
 	return &rpc.NodeState{
 		Id: w.host.ID, Total: toAmount(w.capacity), Foreign: toAmount(foreign), Preemptible: toAmount(preemptible),
-		Draining: w.leaving, Unreachable: !w.reachable,
+		Draining: w.leaving || t.rack.cfg.Draining(w.host), Unreachable: !w.reachable,
 	}
 }
--- a/job/scheduler.go
+++ b/job/scheduler.go
@@ -32,6 +32,10 @@
 	CallTimeout time.Duration // of one call to a rack owner; default 3 s
 	RetryEvery  time.Duration // pause after a failed call; default 200 ms
 	HostsEvery  time.Duration // default 2 s
+	// AdoptEvery is how often a rack with workers whose tasks are not known is
+	// asked again. An answer lists all tasks of the shard, so it is not sent more
+	// often. Default 2 s.
+	AdoptEvery time.Duration
 	// ReconcileEvery is the pause between two comparisons with the intentions. Default 1 s.
 	ReconcileEvery time.Duration
 	// CarryAfter is the age at which the record of an open job is appended anew,
@@ -53,6 +57,7 @@
 	def(&c.CallTimeout, 3*time.Second)
 	def(&c.RetryEvery, 200*time.Millisecond)
 	def(&c.HostsEvery, 2*time.Second)
+	def(&c.AdoptEvery, 2*time.Second)
 	def(&c.ReconcileEvery, time.Second)
 	def(&c.CarryAfter, time.Hour)
 	def(&c.KeepEnded, 48*time.Hour)
--- a/job/scheduler_serve.go
+++ b/job/scheduler_serve.go
@@ -174,6 +174,7 @@
 	if rs == nil || rs.epoch == 0 || rs.epoch != req.GetRackEpoch() {
 		return nil, toWire(errkind.New(errkind.NotReady, "rack_not_adopted", "rack %s is not adopted", req.GetRack()))
 	}
+	rs.revision = max(rs.revision, req.GetRevision())
 	for _, n := range req.GetNodes() {
 		rs.setNode(n)
 	}
--- a/job/shard_rack.go
+++ b/job/shard_rack.go
@@ -32,6 +32,8 @@
 	// The fields below are guarded by the lock of the shard.
 	owner     string
 	epoch     uint64 // of the rack owner that was adopted; zero is none
+	revision  uint64 // of the last report of that epoch
+	adopted   time.Time
 	unsettled map[string]bool
 	nodes     map[string]*rpc.NodeState
 	places    []*flight
@@ -72,7 +74,10 @@
 	owner, e, ok := rs.sh.s.cfg.Ownership.Owner(rs.key)
 	rs.sh.mu.Lock()
 	defer rs.sh.mu.Unlock()
-	return rs.epoch == 0 || ok && (owner != rs.owner || uint64(e) != rs.epoch) || len(rs.unsettled) > 0
+	if rs.epoch == 0 || ok && (owner != rs.owner || uint64(e) != rs.epoch) {
+		return true
+	}
+	return len(rs.unsettled) > 0 && rs.sh.s.cfg.Now().Sub(rs.adopted) >= rs.sh.s.cfg.AdoptEvery
 }
 
 // work makes the calls that are due and reports whether there were any.
@@ -156,7 +161,12 @@
 	}
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	rs.epoch, rs.unsettled = reply.GetRackEpoch(), make(map[string]bool)
+	if rs.epoch == reply.GetRackEpoch() && reply.GetRevision() < rs.revision {
+		return errkind.New(errkind.NotReady, "passed_by_report", "adoption %d of rack %s is older than report %d",
+			reply.GetRevision(), rs.key, rs.revision)
+	}
+	rs.revision = reply.GetRevision()
+	rs.epoch, rs.unsettled, rs.adopted = reply.GetRackEpoch(), make(map[string]bool), sh.s.cfg.Now()
 	for _, n := range reply.GetUnsettled() {
 		rs.unsettled[n] = true
 	}
--- a/machine/worker_test.go
+++ b/machine/worker_test.go
@@ -29,10 +29,11 @@
 	}))
 	defer srv.Close()
 	now := time.Now()
+	deadline := now.Add(time.Second)
 	cfg := WorkerConfig{
 		Address: srv.Listener.Addr().String(), Epoch: 7,
 		Now:    func() time.Time { return now },
-		Tenure: func() (time.Time, bool) { return now.Add(time.Second), true },
+		Tenure: func() (time.Time, bool) { return deadline, true },
 	}
 	c := NewWorkerClient(cfg)
 	if _, err := c.Start(context.Background(), TaskStart{}); errkind.Of(err) != errkind.NotReady {
@@ -69,7 +70,9 @@
 	}
 	now = now.Add(2 * time.Second)
 	cfg.Address = srv.Listener.Addr().String()
-	cfg.Tenure = func() (time.Time, bool) { return now.Add(-time.Millisecond), true }
+	if _, err := c.Start(context.Background(), TaskStart{}); errkind.Of(err) != errkind.NotOwner {
+		t.Errorf("start after the tenure: %v", err)
+	}
 	if _, err := NewWorkerClient(cfg).Inventory(context.Background()); errkind.Of(err) != errkind.NotOwner {
 		t.Errorf("passed tenure: %v", err)
 	}
