Test two owners replaced at once and the stand-in worker

With a rack owner and the job scheduler replaced at once, and a worker that only the old rack owner reaches, missing tasks must wait for the lapse of the lease while new jobs start at once.

--- /dev/null
+++ b/internal/standin/worker_test.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/machine"
+	"github.com/sassafraslb/sassafraslb/workload"
+)
+
+type client struct {
+	t   *testing.T
+	url string
+}
+
+// post returns the status, or zero if the answer was lost, and decodes the body.
+func (c client) post(path string, in, out any) int {
+	c.t.Helper()
+	body, err := json.Marshal(in)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	res, err := http.Post(c.url+path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	if out != nil {
+		_ = json.NewDecoder(res.Body).Decode(out)
+	}
+	return res.StatusCode
+}
+
+func (c client) renew(epoch uint64, lease time.Duration) (r machine.RenewReply, status int) {
+	req := machine.RenewRequest{Epoch: epoch, LeaseMS: lease.Milliseconds()}
+	if lease > 0 {
+		req.NotAfterMS = clockMS() + 10_000
+	}
+	status = c.post("/v1/renew", req, &r)
+	return r, status
+}
+
+func (c client) start(epoch uint64, id string, attempt int, cpu int64) (machine.Refusal, int) {
+	var r machine.Refusal
+	status := c.post("/v1/tasks", machine.StartRequest{Epoch: epoch, NotAfterMS: clockMS() + 10_000, Task: machine.TaskStart{
+		ID: id, Attempt: attempt, Resources: machine.Resources{CPUMilli: cpu},
+	}}, &r)
+	return r, status
+}
+
+func newTestWorker(t *testing.T) (*Worker, client) {
+	w := NewWorker(WorkerConfig{ID: "w", Capacity: machine.Resources{CPUMilli: 1000}})
+	srv := httptest.NewServer(w)
+	t.Cleanup(func() { srv.Close(); w.Close() })
+	return w, client{t, srv.URL}
+}
+
+// Guards against a stand-in that is kinder than the protocol: every test of the
+// job path relies on these refusals.
+func TestWorkerRefusals(t *testing.T) {
+	w, c := newTestWorker(t)
+	if r, status := c.start(5, "t.0", 1, 100); status != 409 || r.Reason != machine.ReasonNoLease {
+		t.Errorf("start without a lease: %d %+v", status, r)
+	}
+	if _, status := c.renew(5, time.Minute); status != 200 {
+		t.Fatalf("renew: %d", status)
+	}
+	if _, status := c.start(5, "t.0", 1, 600); status != 200 {
+		t.Errorf("start: %d", status)
+	}
+	if _, status := c.start(5, "t.0", 1, 600); status != 200 {
+		t.Errorf("repeated start: %d", status)
+	}
+	if r, status := c.start(5, "t.1", 1, 401); status != 409 || r.Reason != machine.ReasonNoCapacity {
+		t.Errorf("start over capacity: %d %+v", status, r)
+	}
+	if _, status := c.renew(4, time.Minute); status != 409 {
+		t.Errorf("renewal with an older epoch: %d", status)
+	}
+	var r machine.Refusal
+	status := c.post("/v1/renew", machine.RenewRequest{Epoch: 5, LeaseMS: 1000, NotAfterMS: clockMS() - 1}, &r)
+	if status != 409 || r.Reason != machine.ReasonExpiredCommand {
+		t.Errorf("renewal after not_after_ms: %d %+v", status, r)
+	}
+	if n := len(w.Records()); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
+
+// Guards against a lease that does not stop tasks, and against results that are
+// forgotten before they are acknowledged.
+func TestWorkerLeaseAndAck(t *testing.T) {
+	w, c := newTestWorker(t)
+	c.renew(1, 50*time.Millisecond)
+	if _, status := c.start(1, "t.0", 1, 100); status != 200 {
+		t.Fatalf("start: %d", status)
+	}
+	for end := time.Now().Add(10 * time.Second); w.Records()[0].EndUS == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	reply, _ := c.renew(1, time.Minute)
+	if len(reply.Tasks) != 1 || reply.Tasks[0].State != string(workload.Lost) {
+		t.Fatalf("inventory after the lease: %+v", reply.Tasks)
+	}
+	c.post("/v1/ack", machine.AckRequest{Epoch: 1, Tasks: []machine.TaskRef{{Task: "t.0", Attempt: 1}}}, nil)
+	if reply, _ = c.renew(1, time.Minute); len(reply.Tasks) != 0 {
+		t.Errorf("inventory after the acknowledgement: %+v", reply.Tasks)
+	}
+}
+
+// Guards against faults that cannot be switched while the worker runs, and a
+// lost answer that comes before the effect.
+func TestWorkerFaultsOverHTTP(t *testing.T) {
+	w, c := newTestWorker(t)
+	c.renew(1, time.Minute)
+	c.post("/v1/faults", Faults{LoseAnswers: 1}, nil)
+	if _, status := c.start(1, "t.0", 1, 100); status != 0 || len(w.Records()) != 1 {
+		t.Errorf("lost answer: status %d, %d runs", status, len(w.Records()))
+	}
+	c.post("/v1/faults", Faults{Unreachable: true}, nil)
+	if _, status := c.start(1, "t.1", 1, 100); status != 0 || len(w.Records()) != 1 {
+		t.Errorf("unreachable: status %d, %d runs", status, len(w.Records()))
+	}
+	c.post("/v1/faults", Faults{UsageFactor: 2}, nil)
+	if r, _ := c.renew(1, time.Minute); len(r.Tasks) != 1 || r.Tasks[0].Usage.CPUMilli != 200 {
+		t.Errorf("usage: %+v", r.Tasks)
+	}
+	stop := machine.StopRequest{Epoch: 1, Attempt: 1, Mode: machine.ModeThrottle}
+	c.post("/v1/tasks/t.0/stop", stop, nil)
+	rs := w.Records()
+	if len(rs) != 2 || rs[1].Resources.CPUMilli != 50 || rs[0].EndUS != rs[1].StartUS {
+		t.Errorf("records of a throttled task: %+v", rs)
+	}
+}
--- a/job/failover_test.go
+++ b/job/failover_test.go
@@ -224,6 +224,27 @@
 	c.check()
 }
 
+// Guards against a new job scheduler that places what it does not find while a
+// worker, unreachable for a new rack owner, may still run it.
+func TestBothOwnersReplacedWorkerUnreachable(t *testing.T) {
+	c := newCell(t, 3, 2, 2)
+	service := testJob("service", workload.Service, 6, 1000, 0)
+	c.submit(c.daemons[2], service)
+	c.awaitRunning(c.daemons[2], service, 6)
+	victim := c.runsOn('a')
+	for _, o := range c.daemons[1:] {
+		o.gate.cutOff(c.address(victim))
+	}
+	c.daemons[0].partition()
+	c.reg.give(c.daemons[1], testTakeover, c.racks[0], c.shard())
+	// New work does not wait for the recovery of the old.
+	fresh := testJob("fresh", workload.Batch, 2, 250, 10*time.Millisecond)
+	c.submit(c.daemons[1], fresh)
+	c.awaitState(c.daemons[1], fresh, Finished)
+	c.moved(victim, 6)
+	c.check()
+}
+
 // Guards against jobs that are lost, doubled or run again when the job scheduler
 // is replaced while placements are in flight.
 func TestJobSchedulerReplaced(t *testing.T) {
