Fix queued preemptions, moved workers and the memory of ended jobs

Several urgent tasks on one worker waited for each other's victims until the first had given up; each now waits only for the room that it needs itself. A worker with a new address is used once its old one has lapsed. Changed quotas reach the engine.

--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -70,3 +70,76 @@
 	}
 	wg.Wait()
 }
+
+// BenchmarkUrgentStart measures the time from the submit of an urgent task to
+// its start on the worker, in a cell that is full of preemptible work.
+func BenchmarkUrgentStart(b *testing.B) {
+	c := newCell(b, 3, 3, 2)
+	d := c.daemons[0]
+	low := testJob("low", workload.Service, 24, 1000, 0)
+	low.Priority, low.Preempt = workload.Low, true
+	c.submit(d, low)
+	c.awaitRunning(d, low, 24)
+	var worst, sum time.Duration
+	b.ResetTimer()
+	for i := range b.N {
+		j := testJob(fmt.Sprintf("urgent-%d", i), workload.Batch, 1, 1000, 10*time.Millisecond)
+		j.Priority = workload.Urgent
+		begin := time.Now()
+		c.submit(d, j)
+		started := func() bool {
+			for _, r := range c.records() {
+				if r.Job == j.ID {
+					return true
+				}
+			}
+			return false
+		}
+		for !started() {
+			time.Sleep(time.Millisecond)
+		}
+		took := time.Since(begin)
+		worst, sum = max(worst, took), sum+took
+		b.StopTimer()
+		c.awaitState(d, j, Finished)
+		c.awaitRunning(d, low, 24)
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(worst.Milliseconds()), "worst-ms")
+	b.ReportMetric(float64(sum.Milliseconds())/float64(b.N), "mean-ms")
+}
+
+// BenchmarkRackTakeover measures the time from the claim of a rack, after the
+// takeover wait, until its new owner has adopted every worker.
+func BenchmarkRackTakeover(b *testing.B) {
+	c := newCell(b, 2, 1, 8)
+	j := testJob("service", workload.Service, 32, 1000, 0)
+	c.submit(c.daemons[1], j)
+	c.awaitRunning(c.daemons[1], j, 32)
+	var sum time.Duration
+	for i := range b.N {
+		d := c.daemons[i%2]
+		begin := time.Now()
+		c.reg.give(d, testTakeover, c.racks[0])
+		for {
+			ten, err := d.rack.tenure(string(c.racks[0]))
+			if err == nil && ten.adopted() == 8 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		sum += time.Since(begin) - testTakeover
+	}
+	b.ReportMetric(float64(sum.Microseconds())/float64(b.N)/1000, "ms/takeover")
+}
+
+func (t *rackTenure) adopted() (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range t.workers {
+		if w.reached {
+			n++
+		}
+	}
+	return n
+}
--- a/job/carry.go
+++ b/job/carry.go
@@ -6,12 +6,15 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/workload"
 )
 
 const (
 	// carryBatch bounds the records that are carried forward in one append.
 	// Each batch looks through all jobs of the shard.
 	carryBatch = 500
+	// carryEnds bounds the ends of tasks in one append, about 50 bytes each.
+	carryEnds = workload.MaxTasksPerJob
 	// carryPoll is how often the position of the log is looked at.
 	carryPoll = 50 * time.Millisecond
 	// carryParts divides what the log keeps: after each part, records in the older
@@ -36,13 +39,18 @@
 	}
 }
 
-// carry appends the records that are due.
+// carry appends the records that are due, each job at most once, so that a log
+// that keeps too little is not filled by it.
 func (sh *shard) carry() {
-	for sh.tenure() {
+	sh.mu.Lock()
+	left := len(sh.jobs)
+	sh.mu.Unlock()
+	for left > 0 && sh.tenure() {
 		bodies := sh.due()
 		if len(bodies) == 0 {
 			return
 		}
+		left -= len(bodies)
 		ctx, cancel := context.WithTimeout(sh.ctx, 10*time.Second)
 		err := sh.journal.appendAll(ctx, recordCarried, bodies)
 		cancel()
@@ -51,9 +59,6 @@
 			return
 		}
 		sh.s.counts.add("carried", "", len(bodies))
-		if len(bodies) < carryBatch {
-			return
-		}
 	}
 }
 
@@ -66,6 +71,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	var out []record
+	ends := 0
 	for id, j := range sh.jobs {
 		if j.final() && now.Sub(j.endedAt) > sh.s.cfg.KeepEnded && len(j.flights) == 0 {
 			delete(sh.jobs, id)
@@ -73,9 +79,10 @@
 		}
 		old := now.Sub(j.recordedAt) > sh.s.cfg.CarryAfter
 		low := oldest > 0 && j.offset < oldest+(next-oldest)/2
-		if (old || low) && len(out) < carryBatch {
+		if (old || low) && len(out) < carryBatch && ends < carryEnds {
 			r := j.carried(string(sh.key))
 			r.Carried = now
+			ends += len(r.Ends)
 			out = append(out, r)
 		}
 	}
--- a/job/faults_test.go
+++ b/job/faults_test.go
@@ -150,18 +150,20 @@
 // Guards against urgent work that waits behind running work, and against
 // preemption that overfills the worker.
 func TestUrgentPreempts(t *testing.T) {
-	c := newCell(t, 2, 2, 2)
-	d := c.daemons[0]
-	low := testJob("low", workload.Service, 16, 1000, 0)
-	low.Priority, low.Preempt = workload.Low, true
-	c.submit(d, low)
-	c.awaitRunning(d, low, 16)
-	urgent := testJob("urgent", workload.Batch, 4, 1000, 100*time.Millisecond)
-	urgent.Priority = workload.Urgent
-	c.submit(d, urgent)
-	c.awaitState(d, urgent, Finished)
-	c.awaitRunning(d, low, 16)
-	c.check()
+	for _, racks := range []int{1, 2} { // with one worker, preemptions queue up on it
+		c := newCell(t, 2, racks, racks)
+		d, full := c.daemons[0], 4*racks*racks
+		low := testJob("low", workload.Service, full, 1000, 0)
+		low.Priority, low.Preempt = workload.Low, true
+		c.submit(d, low)
+		c.awaitRunning(d, low, full)
+		urgent := testJob("urgent", workload.Batch, 4, 1000, 100*time.Millisecond)
+		urgent.Priority = workload.Urgent
+		c.submit(d, urgent)
+		c.awaitState(d, urgent, Finished)
+		c.awaitRunning(d, low, full)
+		c.check()
+	}
 }
 
 // Guards against a failing worker or job that is tried without end, and against
--- a/job/rack_report.go
+++ b/job/rack_report.go
@@ -159,7 +159,8 @@
 			continue
 		}
 		h.settled = true
-		if h.state == stateNotStarted {
+		// A worker that returns after its lease has lapsed reports the end again.
+		if h.state == stateNotStarted || !h.worker.reachable {
 			h.worker.forget(h)
 		}
 	}
--- a/job/rack_tenure.go
+++ b/job/rack_tenure.go
@@ -80,8 +80,13 @@
 		seen[h.ID] = true
 		w := t.workers[h.ID]
 		if w != nil && w.host.Address != h.Address {
-			w.leaving = true // the old address runs until its lease has lapsed
-			continue
+			// What runs at the old address ends before the new one is used.
+			w.leaving = true
+			if !w.lapsed(t.rack.cfg.Now()) || len(w.tasks) > 0 {
+				continue
+			}
+			w.stop()
+			w = nil
 		}
 		if w == nil {
 			w = newWorker(t, h)
--- a/job/rack_worker.go
+++ b/job/rack_worker.go
@@ -83,6 +83,18 @@
 	return free
 }
 
+// room reports whether h fits beside what was started. Tasks that wait behind h
+// have victims or room of their own.
+func (w *worker) room(h *held) bool {
+	free := w.capacity.Sub(h.uses())
+	for _, o := range w.tasks {
+		if o != h && o.holds() && (o.sent || o.state != statePending) {
+			free = free.Sub(o.uses())
+		}
+	}
+	return !free.Negative()
+}
+
 func (w *worker) forget(h *held) {
 	if w.tasks[h.ref()] == h {
 		delete(w.tasks, h.ref())
@@ -330,7 +342,7 @@
 		}
 		w.sync(ctx)
 		w.t.mu.Lock()
-		fits := w.reachable && !w.free().Negative()
+		fits := w.reachable && w.room(h)
 		w.t.mu.Unlock()
 		if fits {
 			return true
--- a/job/reconcile.go
+++ b/job/reconcile.go
@@ -62,7 +62,12 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	parts := make(map[string][]*jobState) // managed services by base id
+	teams := make(map[string]bool)
 	for _, j := range sh.jobs {
+		if !j.final() && !teams[j.job.Team] {
+			teams[j.job.Team] = true
+			sh.setTeam(j.job.Team) // the quota may have changed
+		}
 		if j.managed && j.job.Kind == workload.Service {
 			base, _, _ := strings.Cut(j.job.ID, partMark)
 			parts[base] = append(parts[base], j)
--- a/job/records.go
+++ b/job/records.go
@@ -40,6 +40,8 @@
 	State   string        `json:"state,omitempty"`
 	Reason  string        `json:"reason,omitempty"`
 	Cancel  bool          `json:"cancel,omitempty"`
+	Done    int           `json:"done,omitempty"`   // finished tasks of an ended job
+	Failed  int           `json:"failed,omitempty"` // failed attempts of an ended job
 	Ended   time.Time     `json:"ended,omitzero"`
 	Carried time.Time     `json:"carried,omitzero"` // when a carried record was written
 }
@@ -67,8 +69,10 @@
 	acceptedAt time.Time
 	offset     platform.Offset // newest record that holds the whole job
 	recordedAt time.Time
-	ends       map[endKey]taskEnd
-	finished   map[int]bool // tasks
+	ends       map[endKey]taskEnd // nil when the job is final
+	finished   map[int]bool       // tasks; nil when the job is final
+	done       int                // tasks that finished
+	failed     int                // attempts that failed
 	cancel     bool
 	ending     bool // an end record is being written
 	state      string
@@ -96,20 +100,29 @@
 // addEnd notes the end of an attempt and reports whether it is new.
 func (j *jobState) addEnd(e taskEnd) bool {
 	e.Job = j.job.ID
-	if _, ok := j.ends[e.key()]; ok {
+	if _, ok := j.ends[e.key()]; ok || j.final() {
 		return false
 	}
 	j.ends[e.key()] = e
-	if e.State == workload.Finished {
+	switch {
+	case e.State == workload.Failed:
+		j.failed++
+	case !j.finished[e.Task]:
 		j.finished[e.Task] = true
+		j.done++
 	}
 	return true
 }
 
+// complete reports whether every task has finished.
+func (j *jobState) complete() bool { return j.done == j.job.Count }
+
 // end moves the job to a final state, once.
 func (j *jobState) end(state, reason string, at time.Time) {
 	if !j.final() {
 		j.state, j.reason, j.endedAt = state, reason, at
+		// Ended jobs are remembered for long and in great number.
+		j.ends, j.finished, j.tries = nil, nil, nil
 	}
 }
 
@@ -119,7 +132,9 @@
 		Shard: shard, Job: &j.job, ID: j.job.ID, Managed: j.managed, At: j.acceptedAt,
 		State: j.state, Reason: j.reason, Cancel: j.cancel, Ended: j.endedAt,
 	}
-	if !j.final() {
+	if j.final() {
+		r.Done, r.Failed = j.done, j.failed
+	} else {
 		for _, e := range j.ends {
 			e.Job = ""
 			r.Ends = append(r.Ends, e)
--- a/job/shard.go
+++ b/job/shard.go
@@ -138,6 +138,7 @@
 		j.cancel = r.Cancel
 		if finalState(r.State) {
 			j.end(r.State, r.Reason, r.Ended)
+			j.done, j.failed = r.Done, r.Failed
 		}
 		sh.admitJob(j)
 	}
@@ -181,7 +182,7 @@
 
 // checkFinished ends a job whose tasks have all finished.
 func (sh *shard) checkFinished(j *jobState) {
-	if len(j.finished) == j.job.Count {
+	if j.complete() {
 		j.end(Finished, "", sh.s.cfg.Now())
 	}
 }
--- a/job/shard_flight.go
+++ b/job/shard_flight.go
@@ -164,7 +164,7 @@
 		case j.regrouping:
 			j.regrouping = false
 			sh.restore(j)
-		case j.cancel && j.submitted && len(j.finished) < j.job.Count:
+		case j.cancel && j.submitted && !j.complete():
 			sh.endJob(j, Cancelled, "")
 		}
 	}
@@ -234,7 +234,7 @@
 		}
 		sh.stop(f, machine.ModeStop)
 	}
-	if j.submitted && len(j.flights) == 0 && len(j.finished) < j.job.Count {
+	if j.submitted && len(j.flights) == 0 && !j.complete() {
 		sh.endJob(j, Cancelled, "")
 	}
 }
--- a/job/shard_recover.go
+++ b/job/shard_recover.go
@@ -63,7 +63,7 @@
 		if !j.recovering {
 			continue
 		}
-		if j.job.Kind == workload.Gang && !j.cancel && len(j.flights) > 0 && len(j.flights)+len(j.finished) < j.job.Count {
+		if j.job.Kind == workload.Gang && !j.cancel && len(j.flights) > 0 && len(j.flights)+j.done < j.job.Count {
 			// The predecessor died between the starts of a gang.
 			j.regrouping = true
 			for _, f := range j.flights {
