Read sheets in every export format and bound the cost of configuration

Found by BenchmarkMorningBurst: 8 daemons with 1,000 small changes each failed with base_too_old, because proposals that waited in the queue were judged by a history of 2,000 changes that had run past their base. Waiting proposals now look at each round's changes, the history holds 10,000, and AnyBase serves callers that want the last submission to win.

--- a/config/calendar.go
+++ b/config/calendar.go
@@ -26,24 +26,64 @@
 // A slot that has left the list because its grace is over must not be started
 // any more, but a run of it that has started continues.
 func Desired(st *State, now time.Time, loc *time.Location) []workload.Job {
-	today := LocalDate(now, loc)
-	st = st.On(today)
+	c := newCalendar(now, loc)
+	st = st.On(c.today)
 	var out []workload.Job
 	for _, it := range st.Intentions {
-		out = appendDue(out, it, now, today, loc)
+		out = c.appendDue(out, it)
 	}
 	for _, list := range st.Retired {
 		for _, it := range list {
-			out = appendDue(out, it, now, today, loc)
+			out = c.appendDue(out, it)
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
 
-func appendDue(out []workload.Job, it Intention, now time.Time, today string, loc *time.Location) []workload.Job {
+// calendar answers what is due at one instant.
+type calendar struct {
+	now   time.Time
+	loc   *time.Location
+	today string
+	dates map[time.Time]localDate // by civil date
+}
+
+// localDate is one date in the deployment's time zone.
+type localDate struct {
+	civil  time.Time // midnight of the date, as if in UTC
+	text   string
+	steady bool // the offset from UTC does not change near the date
+	offset time.Duration
+}
+
+func newCalendar(now time.Time, loc *time.Location) *calendar {
+	return &calendar{now: now, loc: loc, today: LocalDate(now, loc), dates: make(map[time.Time]localDate)}
+}
+
+func (c *calendar) date(d time.Time) localDate {
+	out, ok := c.dates[d]
+	if !ok {
+		_, before := d.Add(-maxOffset).In(c.loc).Zone()
+		_, after := d.AddDate(0, 0, 1).Add(maxOffset).In(c.loc).Zone()
+		out = localDate{d, d.Format(dateLayout), before == after, time.Duration(before) * time.Second}
+		c.dates[d] = out
+	}
+	return out
+}
+
+// start is SlotStart, with a short cut for dates without a change of offset.
+func (c *calendar) start(d localDate, at string) (time.Time, error) {
+	if !d.steady {
+		return SlotStart(d.text, at, c.loc)
+	}
+	hour, minute, err := parseClock(at)
+	return d.civil.Add(time.Duration(hour)*time.Hour + time.Duration(minute)*time.Minute - d.offset), err
+}
+
+func (c *calendar) appendDue(out []workload.Job, it Intention) []workload.Job {
 	if it.At == "" {
-		if it.Day <= today && it.Until == "" {
+		if it.Day <= c.today && it.Until == "" {
 			j := it.Job
 			j.ID = JobID(j.Team, it.Name, it.Day, "v"+strconv.FormatUint(uint64(it.Since), 10))
 			out = append(out, j)
@@ -51,21 +91,21 @@
 		return out
 	}
 	// Local dates can differ from the date of the instant by up to a day at a change of offset.
-	first := civil(now.Add(-it.Grace).In(loc)).AddDate(0, 0, -1)
-	last := civil(now.In(loc)).AddDate(0, 0, 1)
-	for d := first; !d.After(last); d = d.AddDate(0, 0, 1) {
-		date := d.Format(dateLayout)
-		if date < it.Day || it.Until != "" && date > it.Until || !onDay(it.Days, d) {
+	first := civil(c.now.Add(-it.Grace).In(c.loc)).AddDate(0, 0, -1)
+	last := civil(c.now.In(c.loc)).AddDate(0, 0, 1)
+	for at := first; !at.After(last); at = at.AddDate(0, 0, 1) {
+		d := c.date(at)
+		if d.text < it.Day || it.Until != "" && d.text > it.Until || !onDay(it.Days, at) {
 			continue
 		}
-		start, err := SlotStart(date, it.At, loc)
-		if err != nil || start.After(now) || !now.Before(start.Add(it.Grace)) {
+		start, err := c.start(d, it.At)
+		if err != nil || start.After(c.now) || !c.now.Before(start.Add(it.Grace)) {
 			continue
 		}
 		j := it.Job
 		// There is one slot a day, whatever its time, so that moving a batch on the day of its run does not run it twice.
-		j.ID = JobID(j.Team, it.Name, date, "0")
-		j.Deadline, j.Grace = start, it.Grace
+		j.ID = JobID(j.Team, it.Name, d.text, "0")
+		j.Deadline, j.Grace = start.In(c.loc), it.Grace
 		out = append(out, j)
 	}
 	return out
@@ -91,6 +131,10 @@
 	return "plan-" + date + "-" + hex.EncodeToString(h.Sum(nil)[:16])
 }
 
+// maxOffset is above every offset from UTC. The offsets this long before and after
+// a local time are those on both sides of a change near it.
+const maxOffset = 26 * time.Hour
+
 // SlotStart returns the instant of a local clock time on a date. A time that
 // occurs twice gives the first occurrence; a time that is skipped gives the end
 // of the gap.
@@ -104,9 +148,8 @@
 		return time.Time{}, err
 	}
 	naive := d.Add(time.Duration(hour)*time.Hour + time.Duration(minute)*time.Minute)
-	// No offset exceeds 26 h, so these two are the offsets on both sides of a change near the time.
-	before := withOffsetAt(naive, naive.Add(-26*time.Hour), loc)
-	after := withOffsetAt(naive, naive.Add(26*time.Hour), loc)
+	before := withOffsetAt(naive, naive.Add(-maxOffset), loc)
+	after := withOffsetAt(naive, naive.Add(maxOffset), loc)
 	var best time.Time
 	for _, t := range []time.Time{before, after} {
 		if sameClock(t.In(loc), naive) && (best.IsZero() || t.Before(best)) {
--- a/config/fold.go
+++ b/config/fold.go
@@ -46,7 +46,8 @@
 }
 
 // fold returns the image after the record, and what became of the record. The
-// result depends on nothing but im and r, so that every daemon gets the same.
+// result depends on nothing but im and r, so that every daemon gets the same. An
+// image is folded at most once, because both histories share memory.
 // The only error is errNewerFormat; im is unchanged then.
 func (im Image) fold(r platform.Record, historyLimit int) (Image, verdict, error) {
 	next := im
@@ -66,7 +67,6 @@
 	}
 	v := VersionAt(r.Offset)
 	next.State = im.State.applyRecord(rec, v)
-	next.History = slices.Clip(im.History)
 	for _, p := range rec.Parts {
 		next.History = append(next.History, entryOf(p, rec.Base, v))
 	}
--- a/config/group.go
+++ b/config/group.go
@@ -24,12 +24,15 @@
 func (p *Publisher) group(im Image, batch []*pending) group {
 	today := p.today(im.State)
 	g := group{rec: changeRecord{Format: recordFormat, Base: im.State.Version, Today: today}}
-	b := grouping{im: im, work: make(map[string]Content), touched: make(map[Ref]bool)}
+	b := grouping{im: im, work: make(map[string]Content), touched: make(map[Ref]bool), later: make(map[Version]later)}
 	for _, w := range batch {
 		if w.ctx.Err() != nil {
 			w.done <- decided{err: errkind.New(errkind.Cancelled, "submit_cancelled", "the caller gave up before the change was sent")}
 			continue
 		}
+		if w.Mode == Merge {
+			w.look(b.laterThan(w.seen))
+		}
 		// Proposals that touch the same entries must see each other's result, so they go into different records.
 		if b.full(p.cfg, len(g.members)) || b.overlaps(w.refs()) || w.Mode != Merge && len(g.members) > 0 {
 			g.rest = append(g.rest, w)
@@ -52,6 +55,7 @@
 	im      Image
 	work    map[string]Content // by day, members applied
 	touched map[Ref]bool
+	later   map[Version]later // index of the history by where it begins
 	ops     int
 	alone   bool // the first member is a sheet or strict
 }
@@ -60,6 +64,15 @@
 	return b.alone || members >= cfg.MaxBatch || b.ops >= cfg.MaxOps
 }
 
+func (b *grouping) laterThan(v Version) later {
+	l, ok := b.later[v]
+	if !ok {
+		l = b.im.laterThan(v)
+		b.later[v] = l
+	}
+	return l
+}
+
 func (b *grouping) overlaps(refs map[Ref]bool) bool {
 	for r := range refs {
 		if b.touched[r] {
--- a/config/proposal.go
+++ b/config/proposal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,10 @@
 	Sheet
 )
 
+// AnyBase is the base of a Merge proposal that no earlier change beats: the last
+// one submitted wins.
+const AnyBase = Version(math.MaxUint64)
+
 // Proposal is a change that a user submits. All of it takes effect or nothing.
 type Proposal struct {
 	ID   string // ULID of the caller; a repeat with the same ID is settled, not run again
@@ -79,6 +84,9 @@
 	if _, err := parseDate(p.Day); p.Day != "" && err != nil {
 		return bad("day must be YYYY-MM-DD, got %q", p.Day)
 	}
+	if p.Base == AnyBase && p.Mode != Merge {
+		return bad("only a Merge proposal may leave out its base")
+	}
 	ops := p.Ops
 	if (p.Mode == Sheet) != (p.Content != nil) || p.Content != nil && len(ops) > 0 {
 		return bad("a sheet has content and no ops, any other change has ops and no content")
@@ -106,49 +114,113 @@
 	err error
 }
 
-// decide answers p against im, or returns nil if p has to be appended. work is
-// the content of p's day with the earlier members of the group applied.
-func (p *Proposal) decide(im Image, today string, work Content) *decided {
-	if e, ok := im.byID(p.ID); ok {
-		return &decided{res: Result{Version: e.Version, Repeated: true}}
+// decide answers w against im, or returns nil if w has to be appended. work is
+// the content of w's day with the earlier members of the group applied.
+func (w *pending) decide(im Image, today string, work Content) *decided {
+	w.look(im.laterThan(w.seen))
+	if w.accepted > 0 {
+		return &decided{res: Result{Version: w.accepted, Repeated: true}}
 	}
-	if p.Base > im.State.Version {
-		return &decided{err: errkind.New(errkind.NotReady, "base_ahead", "this daemon is at version %d, the change is on %d", im.State.Version, p.Base)}
+	if w.Base > im.State.Version && w.Base != AnyBase {
+		return &decided{err: errkind.New(errkind.NotReady, "base_ahead", "this daemon is at version %d, the change is on %d", im.State.Version, w.Base)}
 	}
-	if p.Day < today {
-		return &decided{err: errkind.New(errkind.BadInput, "day_passed", "the change is for %s, today is %s", p.Day, today)}
+	if w.Day < today {
+		return &decided{err: errkind.New(errkind.BadInput, "day_passed", "the change is for %s, today is %s", w.Day, today)}
 	}
-	if p.Mode == Sheet {
-		p.Ops = DiffContent(work, *p.Content)
+	if w.Mode == Sheet {
+		w.Ops = DiffContent(work, *w.Content)
 	}
-	_, planned := im.State.Plans[p.Day]
-	effective := slices.ContainsFunc(p.Ops, func(o Op) bool { return o.Changes(work) })
+	_, planned := im.State.Plans[w.Day]
+	effective := slices.ContainsFunc(w.Ops, func(o Op) bool { return o.Changes(work) })
 	// A sheet for a later day that equals today's content still fixes that day.
-	if !effective && (p.Mode != Sheet || planned || p.Day == today) {
+	if !effective && (w.Mode != Sheet || planned || w.Day == today) {
 		return &decided{res: Result{Version: im.State.Version, NoChange: true}}
 	}
-	if err := p.conflict(im); err != nil {
-		return &decided{err: err}
+	if w.Mode == Sheet {
+		w.look(im.laterThan(w.Base)) // the ops are known only now
+	}
+	if w.winner != nil {
+		return &decided{err: beatenBy(*w.winner)}
 	}
-	if err := p.integrity(work); err != nil {
+	if w.lost {
+		return &decided{err: errkind.New(errkind.OutcomeUnknown, "base_too_old",
+			"the history begins after version %d, the change is on %d; this call changed nothing, but an earlier one with the same id may have", im.Floor, w.Base)}
+	}
+	if err := w.integrity(work); err != nil {
 		return &decided{err: err}
 	}
 	return nil
 }
 
-func (p *Proposal) conflict(im Image) error {
-	later, complete := im.after(p.Base)
-	if p.Mode == Strict && len(later) > 0 {
-		return beatenBy(later[0])
+// later indexes the changes accepted after a version.
+type later struct {
+	complete bool // the history reaches back to the version
+	upTo     Version
+	first    *Entry
+	wide     *Entry // first change that may have touched any entry
+	byKey    map[Ref]*Entry
+	bySheet  map[string]*Entry // sheets by day
+	ids      map[string]Version
+}
+
+func (im Image) laterThan(v Version) later {
+	entries, complete := im.after(v)
+	l := later{complete: complete, upTo: im.State.Version, byKey: make(map[Ref]*Entry), bySheet: make(map[string]*Entry), ids: make(map[string]Version)}
+	for i := range entries {
+		e := &entries[i]
+		l.ids[e.ID] = e.Version
+		if l.first == nil {
+			l.first = e
+		}
+		if len(e.Keys) == 0 && e.Ops > 0 && l.wide == nil {
+			l.wide = e
+		}
+		for _, k := range e.Keys {
+			if l.byKey[k] == nil {
+				l.byKey[k] = e
+			}
+		}
+		if e.Sheet && l.bySheet[e.Day] == nil {
+			l.bySheet[e.Day] = e
+		}
 	}
-	refs := p.refs()
-	for _, e := range later {
-		if p.Mode == Sheet && e.Sheet && e.Day == p.Day || e.touches(refs) {
-			return beatenBy(e)
+	return l
+}
+
+// look notes what the changes after w.seen mean for w. A Merge proposal that
+// waits in a long queue looks at every round, so that the bounded history does
+// not run past it; the ops of a sheet are known only when it is decided.
+func (w *pending) look(l later) {
+	if v, ok := l.ids[w.ID]; ok && w.accepted == 0 {
+		w.accepted = v
+	}
+	if w.Base != AnyBase {
+		w.lost = w.lost || !l.complete
+		if w.winner == nil {
+			w.winner = l.beats(&w.Proposal)
 		}
 	}
-	if !complete {
-		return errkind.New(errkind.Conflict, "base_too_old", "the history begins after version %d; the change is on %d", im.Floor, p.Base)
+	if w.Mode == Merge {
+		w.seen = l.upTo
+	}
+}
+
+// beats returns the first change found that beats p.
+func (l later) beats(p *Proposal) *Entry {
+	if p.Mode == Strict {
+		return l.first
+	}
+	if e := l.bySheet[p.Day]; p.Mode == Sheet && e != nil {
+		return e
+	}
+	refs := p.refs()
+	if l.wide != nil && len(refs) > 0 {
+		return l.wide
+	}
+	for r := range refs {
+		if e := l.byKey[r]; e != nil {
+			return e
+		}
 	}
 	return nil
 }
@@ -163,13 +235,6 @@
 	return out
 }
 
-func (e Entry) touches(refs map[Ref]bool) bool {
-	if len(e.Keys) == 0 {
-		return e.Ops > 0
-	}
-	return slices.ContainsFunc(e.Keys, func(r Ref) bool { return refs[r] })
-}
-
 // integrity checks that every intention keeps its team.
 func (p *Proposal) integrity(c Content) error {
 	added, removed := make(map[string]bool), make(map[Ref]bool)
--- a/config/publisher.go
+++ b/config/publisher.go
@@ -65,6 +65,11 @@
 	ctx    context.Context
 	rounds int
 	done   chan decided
+
+	seen     Version // changes up to it have been looked at
+	accepted Version // of an earlier submission of the same ID
+	winner   *Entry  // change that beats this one
+	lost     bool    // the history did not reach back to the base
 }
 
 // NewPublisher returns a Publisher. Run must be running for Submit to make progress.
@@ -81,8 +86,9 @@
 
 // Submit publishes p and returns when it is in force on this daemon, or refused.
 // The error kinds are bad_input, conflict (see WinnerOf), not_ready,
-// log_unavailable and overloaded, which mean that p has no effect; and
-// append_unknown, which a repeat with the same ID settles.
+// log_unavailable, overloaded and draining, which mean that p has no effect;
+// append_unknown, which a repeat with the same ID settles; and outcome_unknown,
+// if the ID and base are older than the history.
 func (p *Publisher) Submit(ctx context.Context, prop Proposal) (Result, error) {
 	res, err := p.submit(ctx, prop)
 	p.metrics.results.WithLabelValues(resultLabel(res, err)).Inc()
@@ -111,7 +117,10 @@
 	if prop.Day == "" {
 		prop.Day = p.today(p.cfg.Store.Current())
 	}
-	w := &pending{Proposal: prop, ctx: ctx, done: make(chan decided, 1)}
+	w := &pending{Proposal: prop, ctx: ctx, done: make(chan decided, 1), seen: prop.Base}
+	if prop.Base == AnyBase {
+		w.seen = 0 // the whole history is searched for the ID
+	}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
--- a/config/read.go
+++ b/config/read.go
@@ -179,7 +179,10 @@
 		}
 		hi = lo
 	}
-	return s.loadWithoutSnapshot(oldest)
+	if err := s.loadWithoutSnapshot(oldest); err != nil || !complete {
+		return err
+	}
+	return s.foldAll(kept)
 }
 
 func (s *Store) loadWithoutSnapshot(oldest platform.Offset) error {
--- a/config/store.go
+++ b/config/store.go
@@ -39,8 +39,9 @@
 	// ScanChunk is the number of records of the first backward read for a
 	// snapshot; it doubles with each further read. Default 128.
 	ScanChunk int
-	// HistoryLimit is the number of changes kept in the history. Default 2,000.
-	// All daemons of a cell must use the same number.
+	// HistoryLimit is the number of changes kept in the history. Conflicts are
+	// judged by it, so it must cover a burst between an operator's read and
+	// submit. All daemons of a cell must use the same number. Default 10,000.
 	HistoryLimit int
 	Logger       zerolog.Logger
 	Registerer   prometheus.Registerer // nil registers nothing
@@ -53,7 +54,7 @@
 	setDefault(&c.RetryMax, 2*time.Second)
 	setDefault(&c.PeerInterval, time.Second)
 	setDefault(&c.ScanChunk, 128)
-	setDefault(&c.HistoryLimit, 2000)
+	setDefault(&c.HistoryLimit, 10_000)
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/sheet/between.go
+++ b/sheet/between.go
@@ -124,15 +124,27 @@
 // that takes the services of a team above it, since they all run at once.
 func (p *parser) checkQuota(r *placedRow, it config.Intention, team config.Team, used map[string]machine.Resources) {
 	whole := it.Job.Resources.Scale(int64(it.Job.Count))
-	need, what := whole, "this row"
+	need, what, col := whole, "this row", colCount
 	switch it.Job.Kind {
 	case workload.Batch:
 		need, what = it.Job.Resources, "one task of this row" // the tasks of a batch may run one after another
+		col = widest(need, team.Quota)
 	case workload.Service:
 		used[team.Name] = used[team.Name].Add(whole)
 		need, what = used[team.Name], "the services up to this row"
 	}
 	if !need.Fits(team.Quota) {
-		p.fault(&r.row, colCount, r.cells[colCount], fmt.Sprintf("what fits the quota of team %s (%s); %s need %s", team.Name, team.Quota, what, need))
+		p.fault(&r.row, col, r.cells[col], fmt.Sprintf("what fits the quota of team %s (%s); %s need %s", team.Name, team.Quota, what, need))
 	}
 }
+
+// widest returns the column of the first dimension in which need exceeds quota.
+func widest(need, quota machine.Resources) string {
+	switch {
+	case need.CPUMilli > quota.CPUMilli:
+		return colCPU
+	case need.MemoryMiB > quota.MemoryMiB:
+		return colMemory
+	}
+	return colAccel
+}
--- a/sheet/sheet.go
+++ b/sheet/sheet.go
@@ -110,13 +110,13 @@
 }
 
 func (p *parser) parse(text string) {
-	text = strings.TrimPrefix(text, "\ufeff")
-	text = p.checkUTF8(text)
+	text = norm.NFC.String(strings.TrimPrefix(text, "\ufeff"))
 	delim, text, skipped := detectDelimiter(text)
 	s := splitter{text: text, delim: delim, row: skipped, faults: &p.faults}
 	last := skipped
 	for _, cells := range s.rows() {
 		last = cells[0].row
+		p.checkUTF8(cells)
 		if blank(cells) {
 			continue
 		}
@@ -137,17 +137,21 @@
 	p.checkBetweenRows()
 }
 
-// checkUTF8 reports each line with bytes that are not UTF-8 and replaces them.
-func (p *parser) checkUTF8(text string) string {
-	if utf8.ValidString(text) {
-		return norm.NFC.String(text)
-	}
-	for i, line := range strings.Split(text, "\n") {
-		if !utf8.ValidString(line) {
-			p.faults.add(i+1, -1, "", excerpt(strings.ToValidUTF8(line, "?")), "UTF-8 text; export as CSV UTF-8")
+// checkUTF8 reports each cell with bytes that are not UTF-8 and replaces them.
+func (p *parser) checkUTF8(cells []cell) {
+	for i, c := range cells {
+		if !utf8.ValidString(c.text) {
+			cells[i].text = strings.ToValidUTF8(c.text, "?")
+			p.faults.add(c.row, c.col, p.headerOf(c.col), excerpt(cells[i].text), "UTF-8 text; export as CSV UTF-8")
 		}
 	}
-	return norm.NFC.String(strings.ToValidUTF8(text, "?"))
+}
+
+func (p *parser) headerOf(col int) string {
+	if col < len(p.header) {
+		return p.header[col]
+	}
+	return ""
 }
 
 func blank(cells []cell) bool {
