Fetch the host list only when it changed

Cause: BenchmarkControlCost showed 19.7 KB/s received per daemon, the whole host list each second, 61.6 KB/s of it across regions. Ruled out: a longer interval (leaving endpoints must be seen within 3 s); a list relay between daemons (a second mechanism for what a conditional request does). Before: the whole list per read.

--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,10 +17,12 @@
 	mux     *http.ServeMux
 	mu      sync.Mutex
 	lag     time.Duration
+	seq     uint64
 	history []hostsAt // oldest first
 }
 
 type hostsAt struct {
+	seq   uint64 // grows with each change; the ETag
 	at    time.Time
 	hosts map[string]platform.Host
 }
@@ -58,22 +61,35 @@
 	for len(h.history) > 1 && now.Sub(h.history[1].at) > h.lag {
 		h.history = h.history[1:]
 	}
-	h.history = append(h.history, hostsAt{now, next})
+	h.seq++
+	h.history = append(h.history, hostsAt{h.seq, now, next})
 }
 
-func (h *Hosts) handleGet(w http.ResponseWriter, _ *http.Request) {
+// visible returns the list as the lag lets it be seen.
+func (h *Hosts) visible() hostsAt {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	cut := time.Now().Add(-h.lag)
-	hosts := []platform.Host{}
 	for i := len(h.history) - 1; i >= 0; i-- {
 		if !h.history[i].at.After(cut) {
-			for _, host := range h.history[i].hosts {
-				hosts = append(hosts, host)
-			}
-			break
+			return h.history[i]
 		}
 	}
+	return hostsAt{}
+}
+
+func (h *Hosts) handleGet(w http.ResponseWriter, r *http.Request) {
+	list := h.visible()
+	etag := strconv.Quote(strconv.FormatUint(list.seq, 10))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	hosts := []platform.Host{}
+	for _, host := range list.hosts {
+		hosts = append(hosts, host)
+	}
 	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
 	writeJSON(w, http.StatusOK, map[string]any{"hosts": hosts})
 }
