--- a/config/calendar_test.go
+++ b/config/calendar_test.go
@@ -196,14 +196,14 @@
 	p := proposal("plan", d.Current().Version, Sheet, teamOp("a", 2), putIntention(intention(workload.Service, "web", "", 0)))
 	p.Day = "2026-12-05"
 	d.submit(t, p)
-	d.submit(t, proposal("today", d.Current().Version, Merge, teamOp("b", 1)))
+	d.submit(t, proposal("today", d.Current().Version, Merge, teamOp("b", 1), Op{Drain: &Drain{Target: "w2", Operator: true}}, Op{Remove: &Ref{DrainEntry, "w1"}}))
 	if st := d.Current(); st.Teams["a"].Quota.CPUMilli != 1000 || len(Desired(st, *clock.Load(), rome)) != 0 {
 		t.Fatalf("the plan is in force a day early: %+v", st.Teams)
 	}
 	set(time.Date(2026, 12, 5, 0, 0, 0, 0, rome))
 	eventually(t, "the plan is in force", func() bool { return d.Current().Teams["a"].Quota.CPUMilli == 2000 })
 	st := d.Current()
-	if len(st.Teams) != 1 || len(Desired(st, *clock.Load(), rome)) != 1 || len(st.Drains) != 1 {
+	if len(st.Teams) != 1 || len(Desired(st, *clock.Load(), rome)) != 1 || len(st.Drains) != 1 || st.Drains["w2"].Target != "w2" {
 		t.Fatalf("after midnight: %+v", st)
 	}
 }
--- a/config/proposal.go
+++ b/config/proposal.go
@@ -127,6 +127,9 @@
 	if w.Day < today {
 		return &decided{err: errkind.New(errkind.BadInput, "day_passed", "the change is for %s, today is %s", w.Day, today)}
 	}
+	if w.Day > today && slices.ContainsFunc(w.Ops, func(o Op) bool { return o.Drain != nil && o.Drain.Operator }) {
+		return &decided{err: errkind.New(errkind.BadInput, "drain_later", "an operator's drain takes effect at once; it cannot be set for %s", w.Day)}
+	}
 	if w.Mode == Sheet {
 		w.Ops = DiffContent(work, *w.Content)
 	}
--- a/config/publisher_test.go
+++ b/config/publisher_test.go
@@ -94,3 +94,67 @@
 		t.Fatal("a repeat changed the configuration")
 	}
 }
+
+// Guards against a sheet that leaves out an entry which another change altered
+// after the operator looked, although the sheet names it with its old content.
+func TestSheetIsNotAppliedInPart(t *testing.T) {
+	d := startDaemon(t, newFakeLog(), nil).awaitReady(t)
+	base := d.submit(t, proposal("1", 0, Sheet, teamOp("a", 4))).Version
+	d.submit(t, proposal("2", base, Merge, teamOp("a", 5)))
+	_, err := d.pub.Submit(context.Background(), proposal("3", base, Sheet, teamOp("a", 4), teamOp("b", 1)))
+	if winner, ok := WinnerOf(err); !ok || winner.ID != "2" {
+		t.Fatalf("the sheet was not told that change 2 beat it: %v", err)
+	}
+	if len(d.Current().Teams) != 1 {
+		t.Error("a part of the beaten sheet is in force")
+	}
+}
+
+// Guards against changes that fail only because they waited in the queue while
+// more changes than the history holds were accepted.
+func TestQueuedChangesOutliveTheHistory(t *testing.T) {
+	d := newDaemon(t, newFakeLog(), func(sc *StoreConfig, pc *PublisherConfig) { sc.HistoryLimit, pc.MaxBatch = 2, 1 })
+	for i, err := range d.queueThenRun(t, 20, func(i int) Op { return teamOp(fmt.Sprint("t", i), 1) }) {
+		if err != nil {
+			t.Errorf("t%d: %v", i, err)
+		}
+	}
+	if _, err := d.pub.Submit(context.Background(), proposal("t0", 0, Merge, teamOp("t0", 2))); errkind.Of(err) != errkind.OutcomeUnknown {
+		t.Errorf("a repeat of an id that has left the history: %v, want outcome_unknown", err)
+	}
+	if res := d.submit(t, proposal("any", AnyBase, Merge, teamOp("t0", 3))); res.Version != d.Current().Version {
+		t.Errorf("a change on any base gave %+v", res)
+	}
+}
+
+// Guards against changes of one entry that share a record and so never meet.
+func TestBatchedChangesOfOneEntryOneWinner(t *testing.T) {
+	d := newDaemon(t, newFakeLog(), nil)
+	won := 0
+	for _, err := range d.queueThenRun(t, 5, func(i int) Op { return teamOp("a", int64(i+1)) }) {
+		if err == nil {
+			won++
+		} else if _, told := WinnerOf(err); !told {
+			t.Error(err)
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d winners, want 1", won)
+	}
+}
+
+// queueThenRun queues n changes before the publisher runs and returns their errors.
+func (d *daemon) queueThenRun(t *testing.T, n int, op func(int) Op) []error {
+	d.setReady()
+	errs := make([]error, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			_, errs[i] = d.pub.Submit(context.Background(), proposal(fmt.Sprint("t", i), 0, Merge, op(i)))
+		})
+	}
+	eventually(t, "every change is queued", func() bool { d.pub.mu.Lock(); defer d.pub.mu.Unlock(); return len(d.pub.queue) == n })
+	d.run(t)
+	wg.Wait()
+	return errs
+}
--- a/config/snapshot_test.go
+++ b/config/snapshot_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -54,9 +55,15 @@
 		t.Fatal(err)
 	}
 	l.add(torn[:len(torn)-1]...)
-	damaged, _ := encodeSnapshot("damaged", im, testNow(), 64)
-	last := damaged[len(damaged)-1]
-	last[len(last)-1] ^= 1
+	im.State = im.State.clone() // content that no checksum of the header covers
+	im.State.Teams["damaged"] = Team{Name: "damaged"}
+	damaged, err := encodeSnapshot("damaged", im, testNow(), 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range damaged {
+		r[bytes.Index(r, []byte(`"sum":"`))+len(`"sum":"`)] = 'g' // never a digit of a checksum
+	}
 	l.add(damaged...)
 	l.trim(cut)
 
@@ -73,7 +80,13 @@
 		t.Errorf("history differs:\n%s", d)
 	}
 
-	l.trim(cut + 1) // the record after the snapshot is gone, so the snapshot has a gap
+	late, err := encodeSnapshot("late", ia, testNow(), 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.publish(t, 1) // between what the snapshot holds and its parts
+	first := l.add(late...)
+	l.trim(first) // the snapshot is whole, but the record between is gone
 	c := startDaemon(t, l, nil)
 	eventually(t, "the start is refused", func() bool { return errkind.ReasonOf(c.InForce().LogErr) == "no_snapshot" })
 	if errkind.Of(c.Ready()) != errkind.NotReady {
--- a/config/state.go
+++ b/config/state.go
@@ -60,6 +60,7 @@
 			break
 		}
 		next := st.Plans[day].clone()
+		next.Drains = sheetDrains(next.Drains) // an operator may have ended a drain since the plan was made
 		for target, d := range st.Drains {
 			if d.Operator {
 				next.Drains[target] = d
--- a/sheet/diff.go
+++ b/sheet/diff.go
@@ -54,7 +54,7 @@
 		return fmt.Sprintf("no change for %s against version %d\n", d.Day, d.Base)
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%d changes for %s against version %d\n", len(d.Changes), d.Day, d.Base)
+	fmt.Fprintf(&b, "changes for %s against version %d: %d\n", d.Day, d.Base, len(d.Changes))
 	for _, c := range d.Changes {
 		fmt.Fprintf(&b, "%-6s %s", c.Action, c.Ref)
 		switch c.Action {
@@ -79,7 +79,7 @@
 		}
 	case config.TeamEntry:
 		if v, ok := c.Teams[r.Key]; ok {
-			return fmt.Sprintf("region=%s quota %s weight=%d", v.Home, v.Quota, v.Weight)
+			return fmt.Sprintf("region=%s quota %s weight=%d", v.Home, v.Quota, max(v.Weight, 1))
 		}
 	case config.IntentionEntry:
 		if v, ok := c.Intentions[r.Key]; ok {
@@ -94,7 +94,7 @@
 }
 
 func describeCustomer(v config.Customer) string {
-	out := fmt.Sprintf("region=%s weight=%d", v.Home, v.Weight)
+	out := fmt.Sprintf("region=%s weight=%d", v.Home, max(v.Weight, 1))
 	for _, class := range requestClasses {
 		if l, ok := v.Limits[class]; ok {
 			out += fmt.Sprintf(" %s(per_second=%g burst=%d concurrent=%d)", class, l.PerSecond, l.Burst, l.Concurrent)
