Do not wait for a slow log's answer once a change is read back

A log that is slow to answer held each change back until the append timed out, although the store had read the record back already. The publisher now waits for the answer and the read-back at once. Ruled out: a shorter append timeout, which would repeat appends that are only slow.

The new case of TestLostAnswersAreSettled (no answer at all, append timeout 1 h) passes; before, an append without an answer was waited for until its timeout. Run: go test -race -count=1 ./config passes.

--- a/config/fakelog_test.go
+++ b/config/fakelog_test.go
@@ -59,6 +59,7 @@
 	loseAnswer int                 // this many appends take effect but their answer is lost
 	dropAppend int                 // this many appends are lost on the way, with an unknown outcome
 	late       func(record []byte) // takes a dropped append, to deliver it later
+	slow       bool                // appends take effect, but their answer never comes
 	staleHead  platform.Offset     // reads see the log as it was at this head; zero is off
 }
 
@@ -89,12 +90,16 @@
 		}
 		return 0, unknown
 	}
-	lost := c.loseAnswer > 0
+	lost, slow := c.loseAnswer > 0, c.slow
 	if lost {
 		c.loseAnswer--
 	}
 	c.mu.Unlock()
 	first := c.add(records...)
+	if slow {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
 	if lost {
 		return 0, unknown
 	}
--- a/config/outage_test.go
+++ b/config/outage_test.go
@@ -14,8 +14,9 @@
 		"took effect":               {loseAnswer: 1},
 		"did not take effect":       {dropAppend: 1},
 		"several, some with effect": {dropAppend: 2, loseAnswer: 2},
+		"no answer at all":          {slow: true},
 	} {
-		d := startDaemon(t, newFakeLog(), nil).awaitReady(t)
+		d := startDaemon(t, newFakeLog(), func(_ *StoreConfig, pc *PublisherConfig) { pc.AppendTimeout = time.Hour }).awaitReady(t)
 		d.log.set(f)
 		res := d.submit(t, proposal("1", 0, Strict, teamOp("a", 4)))
 		next := d.submit(t, proposal("2", res.Version, Strict, teamOp("b", 4)))
--- a/config/publisher.go
+++ b/config/publisher.go
@@ -234,23 +234,26 @@
 	defer p.cfg.Store.forget(id)
 	deadline := time.NewTimer(p.cfg.SettleTimeout)
 	defer deadline.Stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	sent := false // the record may be in the log
+	answer := p.append(ctx, data)
+	var repeat <-chan time.Time
 	for {
-		appended, err := p.append(ctx, data)
-		if err != nil && !sent && !maybeAppended(err) {
-			return fate{}, errkind.Wrap(errkind.LogUnavailable, "append_failed", err)
-		}
-		sent = sent || err == nil || maybeAppended(err)
-		var repeat <-chan time.Time
-		if !appended {
-			t := time.NewTimer(p.cfg.RepeatAfter)
-			defer t.Stop()
-			repeat = t.C
-		}
+		// The record may be read back before a slow log answers the append.
 		select {
 		case f := <-settled:
 			return f, nil
+		case err := <-answer:
+			if err != nil && !sent && !maybeAppended(err) {
+				return fate{}, errkind.Wrap(errkind.LogUnavailable, "append_failed", err)
+			}
+			sent, answer = true, nil
+			if err != nil {
+				repeat = time.After(p.cfg.RepeatAfter)
+			}
 		case <-repeat:
+			answer, repeat = p.append(ctx, data), nil
 		case <-deadline.C:
 			return fate{}, errkind.New(errkind.AppendUnknown, "not_read_back", "the change was not read back within %s", p.cfg.SettleTimeout)
 		case <-ctx.Done():
@@ -259,13 +262,18 @@
 	}
 }
 
-func (p *Publisher) append(ctx context.Context, data []byte) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.cfg.AppendTimeout)
-	defer cancel()
+// append sends one append and returns the channel of its answer.
+func (p *Publisher) append(ctx context.Context, data []byte) <-chan error {
 	p.metrics.appends.Inc()
 	p.metrics.bytes.Add(float64(len(data)))
-	_, err := p.cfg.Log.Append(ctx, platform.StreamConfig, [][]byte{data})
-	return err == nil, err
+	answer := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, p.cfg.AppendTimeout)
+		defer cancel()
+		_, err := p.cfg.Log.Append(ctx, platform.StreamConfig, [][]byte{data})
+		answer <- err
+	}()
+	return answer
 }
 
 // maybeAppended reports errors after which the record may be in the log. An
