Test a byte-order mark before a quoted header

A mutation trial that left the mark in place passed, because unquoted headers are trimmed anyway. The export test now quotes the first header in half of its cases and puts empty rows after the mark, where exports have them.

--- a/sheet/parse_test.go
+++ b/sheet/parse_test.go
@@ -281,11 +281,14 @@
 		tab = append(tab, make([]string, r.IntN(9)), nil, make([]string, 2))
 		text := tab.text([]string{",", ";", "\t"}[i%3], []string{"\n", "\r\n"}[i%2])
 		if i%2 == 0 {
-			text = "\ufeff" + text
+			text = `"` + tab[0][0] + `"` + text[len(tab[0][0]):]
 		}
 		if i%5 == 0 {
 			text = strings.Repeat("\r\n", i%3) + text
 		}
+		if i%4 < 2 {
+			text = "\ufeff" + text
+		}
 		got, err := Parse(strings.NewReader(text), ritagli(t))
 		if err != nil {
 			t.Fatalf("%q:\n%v", text, err)
