--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -58,6 +58,11 @@
 	b.StopTimer()
 	b.ReportMetric(float64(j.Count)/b.Elapsed().Seconds(), "tasks/s")
 	b.ReportMetric(float64(c.log.appendCount()-before)/float64(j.Count), "appends/task")
+	var bytes float64
+	for _, o := range c.daemons {
+		bytes += count(b, o.rack.counts, "report_bytes", "")
+	}
+	b.ReportMetric(bytes/float64(j.Count), "report-bytes/task")
 }
 
 // parallel runs fn for all jobs, 256 at a time.
--- a/job/checker_test.go
+++ b/job/checker_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/workload"
@@ -134,6 +136,16 @@
 	return out
 }
 
+// count returns the value of a counter.
+func count(t testing.TB, c *counters, event, reason string) float64 {
+	t.Helper()
+	var m dto.Metric
+	if err := c.vec.WithLabelValues(event, reason).Write(&m); err != nil {
+		t.Fatal(err)
+	}
+	return m.GetCounter().GetValue()
+}
+
 func testJob(id string, kind workload.Kind, count int, cpu int64, run time.Duration) workload.Job {
 	return workload.Job{
 		ID: id, Team: "team-a", Kind: kind, Count: count, Priority: workload.Normal, Retries: 3,
--- a/job/faults_test.go
+++ b/job/faults_test.go
@@ -162,6 +162,11 @@
 		c.submit(d, urgent)
 		c.awaitState(d, urgent, Finished)
 		c.awaitRunning(d, low, full)
+		for _, o := range c.daemons {
+			if n := count(t, o.sched.counts, "rejected", "preemption_failed"); n != 0 {
+				t.Errorf("%v preemptions did not make room in time", n)
+			}
+		}
 		c.check()
 	}
 }
