Lend accelerator workers to short batches and limit gang reservations

A gang also waited for ever when quarantined workers got no probe, because runs lost to a learned size were blamed on workers.

--- a/placement/config.go
+++ b/placement/config.go
@@ -24,10 +24,15 @@
 	// restart of a worker.
 	ImpossibleGrace time.Duration
 	// ReserveAfter is the wait after which a job that does not fit gets a
-	// reservation of workers. Default 2 s.
+	// reservation of workers. Default 10 s: 2 s drained workers too early and 30 s let
+	// gangs starve in the hard mix.
 	ReserveAfter time.Duration
 	// Reservations bounds the jobs that hold a reservation at once. Default 4.
 	Reservations int
+	// LendFor is the longest expected run time of batch tasks that may use
+	// accelerator workers without needing accelerators, within the room that is not
+	// kept for those (see lendable). Default 1 min; negative lends nothing.
+	LendFor time.Duration
 	// ReclaimAfter is the wait after which a team below its quota takes borrowed
 	// resources back. Default 5 s.
 	ReclaimAfter time.Duration
@@ -39,7 +44,7 @@
 	// SizePercentile and SizeMargin give the learned size: the percentile of the
 	// reported peaks, enlarged by the margin. Defaults 0.98 and 0.15.
 	SizePercentile, SizeMargin float64
-	// RunPercentile and RunMargin give the learned run time. Defaults 0.90 and 0.10.
+	// RunPercentile and RunMargin give the learned run time. Defaults 0.75 and 0.10.
 	RunPercentile, RunMargin float64
 	// ThrottleFreesPermille is the share of a throttled task's processors that is
 	// free for others; its memory and accelerators stay in use. Default 500. A
@@ -71,13 +76,14 @@
 	def(&c.BackoffMax, time.Minute)
 	def(&c.RejectBase, 20*time.Millisecond)
 	def(&c.ImpossibleGrace, time.Minute)
-	def(&c.ReserveAfter, 30*time.Second)
+	def(&c.ReserveAfter, 10*time.Second)
 	def(&c.Reservations, 4)
+	def(&c.LendFor, time.Minute)
 	def(&c.ReclaimAfter, 5*time.Second)
 	def(&c.MinSamples, 20)
 	def(&c.SizePercentile, 0.98)
 	def(&c.SizeMargin, 0.15)
-	def(&c.RunPercentile, 0.90)
+	def(&c.RunPercentile, 0.75)
 	def(&c.RunMargin, 0.10)
 	def(&c.ThrottleFreesPermille, 500)
 	def(&c.QuarantineFailures, 4)
--- a/placement/health.go
+++ b/placement/health.go
@@ -164,21 +164,31 @@
 	}
 }
 
-// startProbes opens the quarantined workers whose time has come to one task.
+// startProbes opens the quarantined workers whose time has come to one task. A
+// worker for which no probe came up is readmitted with one failure to spare, so
+// that a gang that needs it does not wait for ever.
 func (e *Engine) startProbes(now time.Time) {
 	if e.nextProbe.IsZero() || now.Before(e.nextProbe) {
 		return
 	}
 	e.nextProbe = time.Time{}
+	var due []*node
 	for _, n := range e.quarantined {
 		switch h := &n.health; {
-		case h.state != quarantined:
+		case h.probe != nil:
 		case now.Before(h.until):
 			e.probeAt(h.until)
-		default:
-			h.state = probing
+		case h.state == quarantined:
+			h.state, h.until = probing, now.Add(e.cfg.QuarantineBase)
+			e.probeAt(h.until)
 			n.index()
 			e.freed(n, none)
+		default:
+			due = append(due, n)
 		}
 	}
+	for _, n := range due {
+		n.health.streak = e.cfg.QuarantineFailures - 1
+		e.readmit(n)
+	}
 }
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -97,7 +97,13 @@
 		if declared <= 0 || h.count < c.MinSamples {
 			return declared
 		}
-		share := h.percentile(c.SizePercentile) * (1 + c.SizeMargin) / 1000
+		share := h.percentile(c.SizePercentile) / 1000
+		if share <= 1 {
+			// The margin does not take a sufficient declaration beyond itself.
+			share = min(share*(1+c.SizeMargin), 1)
+		} else {
+			share *= 1 + c.SizeMargin
+		}
 		// A very small estimate is raised, because reports of short tasks miss
 		// their peaks.
 		return max(int64(math.Ceil(share*float64(declared))), declared/minLearned, 1)
--- a/placement/node.go
+++ b/placement/node.go
@@ -31,6 +31,24 @@
 // already promised to the preempting task.
 func (n *node) free() machine.Resources { return n.Total.Sub(n.Foreign).Sub(n.used) }
 
+// keepPermille is the part of the processors and memory per free accelerator that
+// is kept for tasks that need accelerators: half of an even split, so that a lent
+// worker still takes one average task per free accelerator.
+const keepPermille = 500
+
+// lendable is the part of free that n gives to tasks that need no accelerators.
+func (n *node) lendable(free machine.Resources) machine.Resources {
+	if n.Total.Accelerators == 0 {
+		return free
+	}
+	keep := func(total int64) int64 {
+		return total * keepPermille * max(free.Accelerators, 0) / (n.Total.Accelerators * 1000)
+	}
+	free.CPUMilli -= keep(n.Total.CPUMilli)
+	free.MemoryMiB -= keep(n.Total.MemoryMiB)
+	return free
+}
+
 // reach is what urgent work could get by preemption.
 func (n *node) reach() machine.Resources {
 	return n.free().Add(n.soft).Add(minOf(n.Preemptible, n.Foreign))
@@ -190,10 +208,14 @@
 
 // hold reserves res on n for t.
 func (e *Engine) hold(t *task, n *node, res machine.Resources, now time.Time) {
+	before := n.free()
 	t.node, t.res, t.since = n, res, now
 	t.pos = len(n.tasks)
 	n.tasks = append(n.tasks, t)
 	e.charge(t, n, res)
+	if res.Accelerators > 0 {
+		e.freed(n, before) // a used accelerator keeps no room any more
+	}
 	j := t.job
 	j.placed++
 	if j.racks != nil {
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -163,12 +163,12 @@
 }
 
 func (s *shape) allowsPool(k poolKey) bool {
-	return s.inZone(k.zone) && (s.accelOK || s.need.Accelerators > 0 || !k.accel)
+	return s.inZone(k.zone) && (!k.accel || s.accelOK || s.borrows)
 }
 
 // admits is the part of the filter step that the index does not cover.
 func (e *Engine) admits(n *node, s *shape, j *job, now time.Time) bool {
-	return n.probeable(s) && e.backfills(n, s, j, now)
+	return n.probeable(s) && (s.accelOK || s.need.Fits(s.room(n))) && e.backfills(n, s, j, now)
 }
 
 // packScore is lower for workers that the task leaves fuller and in balance: a
@@ -178,6 +178,9 @@
 	c := fraction(left.CPUMilli, n.Total.CPUMilli)
 	m := fraction(left.MemoryMiB, n.Total.MemoryMiB)
 	a := fraction(left.Accelerators, n.Total.Accelerators)
+	if need.Accelerators == 0 && n.Total.Accelerators > 0 {
+		a += lentPenalty
+	}
 	return c + m + a + imbalanceWeight*max(c-m, m-c)
 }
 
@@ -185,6 +188,10 @@
 // against their sum.
 const imbalanceWeight = 1.0
 
+// lentPenalty puts accelerator workers behind all others for tasks that need no
+// accelerators.
+const lentPenalty = 10
+
 func fraction(a, total int64) float64 {
 	if total <= 0 {
 		return 0
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -37,7 +37,8 @@
 	resv    *reservation
 	missing int       // fits that must appear before a new search can succeed
 	pos     int       // in Engine.blocked
-	accelOK bool      // may use accelerator workers although it needs none
+	accelOK bool      // may use all of an accelerator worker
+	borrows bool      // may use the lendable part of one
 	born    uint64    // order of creation
 	doomed  time.Time // since when no known worker can hold it; zero if one can
 }
@@ -335,14 +336,22 @@
 		return
 	}
 	free := n.free()
-	if free.Fits(before) {
+	if free.Fits(before) && n.Total.Accelerators == 0 {
 		return
 	}
+	lendable, lentBefore := n.lendable(free), n.lendable(before)
 	for i := len(e.blocked) - 1; i >= 0 && i < len(e.blocked); i-- {
 		s := e.blocked[i]
 		e.stats.QueueSteps++
-		gain := times(s.need, free) - times(s.need, before)
-		if gain <= 0 || !s.allows(n) {
+		if !s.allows(n) {
+			continue
+		}
+		was, now := before, free
+		if !s.accelOK {
+			was, now = lentBefore, lendable
+		}
+		gain := times(s.need, now) - times(s.need, was)
+		if gain <= 0 {
 			continue
 		}
 		if s.missing -= gain; s.missing <= 0 {
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -77,6 +77,10 @@
 		if c.s.kind == workload.Gang && slices.ContainsFunc(e.resvs, func(r *reservation) bool { return r.shape.kind == workload.Gang }) {
 			continue
 		}
+		// Workers drain at a cost; a second gang waits for those of the first.
+		if c.s.kind == workload.Gang && slices.ContainsFunc(e.resvs, func(r *reservation) bool { return r.shape.kind == workload.Gang }) {
+			continue
+		}
 		if !e.reserve(c.s, c.j, now) {
 			e.considerAt(now.Add(10 * e.cfg.ReserveAfter))
 		}
--- a/placement/shape.go
+++ b/placement/shape.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/workload"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
@@ -73,6 +74,7 @@
 // declaration. A learned size that no worker holds is not used.
 func (e *Engine) estimate(s *shape) {
 	s.need, s.run = s.declared, s.runTime
+	defer func() { s.borrows = s.kind == workload.Batch && s.run > 0 && s.run <= e.cfg.LendFor }()
 	if s.fam == nil || e.cfg.NoLearning {
 		return
 	}
@@ -96,7 +98,15 @@
 
 // allows reports whether the class of n may run s.
 func (s *shape) allows(n *node) bool {
-	return s.inZone(n.Zone) && (s.accelOK || s.need.Accelerators > 0 || n.Total.Accelerators == 0)
+	return s.inZone(n.Zone) && (n.Total.Accelerators == 0 || s.accelOK || s.borrows)
+}
+
+// room returns what n, with the free resources given, offers to s.
+func (s *shape) room(n *node) machine.Resources {
+	if s.accelOK || n.Total.Accelerators == 0 {
+		return n.free()
+	}
+	return n.lendable(n.free())
 }
 
 // possible reports whether the known workers could hold s if they were empty,
@@ -252,7 +262,7 @@
 		return "worker_too_small_cpu"
 	case s.need.MemoryMiB > c.total.MemoryMiB:
 		return "worker_too_small_memory"
-	case !s.accelOK && c.total.Accelerators > 0:
+	case !s.accelOK && !s.borrows && c.total.Accelerators > 0:
 		return "kept_for_accelerators"
 	}
 	return ""
@@ -277,6 +287,8 @@
 		return "busy_memory"
 	case s.need.Accelerators > free.Accelerators:
 		return "busy_accelerators"
+	case !s.need.Fits(s.room(n)):
+		return "kept_for_accelerators"
 	case !n.probeable(s):
 		return "quarantine_probe"
 	case !e.backfills(n, s, j, now):
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -143,6 +143,9 @@
 func (s *sim) run(limit int) outcome {
 	for len(s.events) > 0 && (limit == 0 || s.out.placed < limit) {
 		e := heap.Pop(&s.events).(simEvent)
+		if e.at > 3*time.Hour {
+			s.tb.Fatalf("%d tasks still wait after three hours", s.waiting)
+		}
 		s.pass(e.at)
 		s.handle(e)
 		if len(s.events) > 0 && s.events[0].at == s.now {
--- a/placement/tasks.go
+++ b/placement/tasks.go
@@ -166,12 +166,15 @@
 func (e *Engine) taskFailed(t *task, n *node, held machine.Resources, r Result, now time.Time) {
 	j := t.job
 	t.avoid = n
-	e.blame(t, n, r.WorkerFault, now)
+	small := outgrown(held, r.Used, j.spec.Resources)
+	if !small {
+		e.blame(t, n, r.WorkerFault, now)
+	}
 	if j.ended() {
 		t.state = taskDropped
 		return
 	}
-	if outgrown(held, r.Used, j.spec.Resources) {
+	if small {
 		// The task failed at the edge of its learned size; that is the estimate's
 		// fault, and it runs with the declared size from now on.
 		j.declared = true
