--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -17,7 +17,6 @@
 	shape    *shape
 	priority workload.Priority
 	at       time.Time // when the room is expected
-	renewals int
 	nodes    []*node
 }
 
@@ -40,11 +39,11 @@
 	}
 	e.nextReserve = time.Time{}
 	for _, r := range slices.Clone(e.resvs) {
-		if now.After(r.at) && !e.renew(r, now) {
+		if now.After(r.at) {
 			e.dropReservation(r.shape)
-			continue
+		} else {
+			e.considerAt(r.at.Add(time.Millisecond))
 		}
-		e.considerAt(r.at.Add(time.Millisecond))
 	}
 	type candidate struct {
 		s *shape
@@ -78,37 +77,16 @@
 		if c.s.kind == workload.Gang && slices.ContainsFunc(e.resvs, func(r *reservation) bool { return r.shape.kind == workload.Gang }) {
 			continue
 		}
+		// Workers drain at a cost; a second gang waits for those of the first.
+		if c.s.kind == workload.Gang && slices.ContainsFunc(e.resvs, func(r *reservation) bool { return r.shape.kind == workload.Gang }) {
+			continue
+		}
 		if !e.reserve(c.s, c.j, now) {
 			e.considerAt(now.Add(10 * e.cfg.ReserveAfter))
 		}
 	}
 }
 
-// maxRenewals is how often a reservation is extended before it is planned anew.
-const maxRenewals = 8
-
-// renew moves the time of r to the next expected end on its workers. Planning it
-// anew each time would give up workers that have already drained.
-func (e *Engine) renew(r *reservation, now time.Time) bool {
-	var next time.Time
-	for _, n := range r.nodes {
-		for _, t := range n.tasks {
-			if at, ok := t.end(now); ok && (next.IsZero() || at.Before(next)) {
-				next = at
-			}
-		}
-	}
-	if next.IsZero() || r.renewals >= maxRenewals {
-		return false
-	}
-	r.renewals++
-	r.at = next
-	if soon := now.Add(time.Second); next.Before(soon) {
-		r.at = soon
-	}
-	return true
-}
-
 // first returns the first waiting job of s over all teams, or nil.
 func (s *shape) first() *job {
 	var best *job
