--- a/placement/policy.go
+++ b/placement/policy.go
@@ -20,30 +20,62 @@
 	workload.Gang:    {searchGang},
 }
 
-// searchBatch packs: of the first feasible workers in index order it takes the
-// one that the task fills best. Index order concentrates load on few workers.
+// searchBatch packs: it takes the feasible worker that the task fills best.
 func searchBatch(e *Engine, s *shape, j *job, now time.Time) ([]*node, int, bool) {
-	limit := e.candidates()
 	var best *node
 	bestScore := 0.0
+	consider := func(n *node) bool {
+		e.stats.NodesExamined++
+		if !e.admits(n, s, j, now) {
+			return false
+		}
+		if sc := packScore(n, s.need) + e.distrust(n, j); best == nil || sc < bestScore {
+			best, bestScore = n, sc
+		}
+		return true
+	}
+	e.each(s, e.cfg.Candidates/sampleStarts, consider)
+	return e.single(best, s, j)
+}
+
+// sampleStarts is the number of random places at which a search of a large cell
+// looks for feasible workers, per zone. From a fixed place it would cross the
+// same full workers each time, at a cost that grows with the cell.
+const sampleStarts = 4
+
+// each calls consider for the workers with room for s: for all of them in a
+// small cell, else for up to run accepted workers in a row from random places of
+// each zone. No worker is out of reach: if none was accepted, all are visited.
+func (e *Engine) each(s *shape, run int, consider func(*node) bool) {
 	for _, p := range e.poolList {
-		if !s.allowsPool(p.key) {
+		if !s.allowsPool(p.key) || len(p.slots) == 0 {
+			continue
+		}
+		if e.known <= e.cfg.ExactCell {
+			e.scan(p, s, 0, len(p.slots), consider)
 			continue
 		}
-		seen := 0
-		for i := p.free.next(0, s.need); i >= 0 && seen < limit; i = p.free.next(i+1, s.need) {
-			n := p.slots[i]
-			e.stats.NodesExamined++
-			if !e.admits(n, s, j, now) {
-				continue
+		for range sampleStarts {
+			from := e.rng.IntN(len(p.slots))
+			if e.scan(p, s, from, run, consider) == 0 && e.scan(p, s, 0, 1, consider) == 0 {
+				break
 			}
-			seen++
-			if sc := packScore(n, s.need) + e.distrust(n, j); best == nil || sc < bestScore {
-				best, bestScore = n, sc
+		}
+	}
+}
+
+// scan calls consider for the workers of p with room for s from a slot on, until
+// limit are accepted, and returns how many were.
+func (e *Engine) scan(p *pool, s *shape, from, limit int, consider func(*node) bool) int {
+	seen := 0
+	for i := p.free.next(from, s.need); i >= 0; i = p.free.next(i+1, s.need) {
+		if consider(p.slots[i]) {
+			if seen++; seen >= limit {
+				break
 			}
 		}
 	}
-	return e.single(best, s, j)
+	return seen
 }
 
 // single returns a plan of one worker, or of one found by preemption.
@@ -61,8 +93,7 @@
 }
 
 // searchService spreads over zones, then racks, then workers. Among equals it
-// packs, so that services leave large gaps for large tasks. In a large cell it
-// probes random workers of each zone.
+// packs, so that services leave large gaps for large tasks.
 func searchService(e *Engine, s *shape, j *job, now time.Time) ([]*node, int, bool) {
 	var best *node
 	var bestScore float64
@@ -76,43 +107,10 @@
 		}
 		return true
 	}
-	for _, p := range e.poolList {
-		if !s.allowsPool(p.key) {
-			continue
-		}
-		if e.known <= e.cfg.ExactCell {
-			for i := p.free.next(0, s.need); i >= 0; i = p.free.next(i+1, s.need) {
-				consider(p.slots[i])
-			}
-			continue
-		}
-		e.probe(p, s.need, consider)
-	}
+	e.each(s, 1, consider)
 	return e.single(best, s, j)
 }
 
-// probe calls consider for up to Candidates feasible workers found from random
-// starts, wrapping around, so that no feasible worker is out of reach.
-func (e *Engine) probe(p *pool, need machine.Resources, consider func(*node) bool) {
-	for range e.cfg.Candidates {
-		start := e.rng.IntN(len(p.slots))
-		i := p.free.next(start, need)
-		if i < 0 {
-			i = p.free.next(0, need)
-		}
-		if i < 0 {
-			return
-		}
-		if consider(p.slots[i]) {
-			continue
-		}
-		// The worker fits but is not admitted: take the next that is.
-		for i = p.free.next(i+1, need); i >= 0 && !consider(p.slots[i]); {
-			i = p.free.next(i+1, need)
-		}
-	}
-}
-
 // searchGang finds workers for all waiting tasks of j, in one zone if one zone
 // has room, or counts how many fits are missing.
 func searchGang(e *Engine, s *shape, j *job, now time.Time) ([]*node, int, bool) {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -226,8 +226,10 @@
 func (e *Engine) arrange(g *group) {
 	t := g.team
 	teamIn := t.groups.len() > 0
-	// The heads decide the order, so dead entries are dropped before comparing.
-	active := g.head() != nil && !g.shape.blocked && !g.parked
+	active := g.live > 0 && !g.shape.blocked && !g.parked
+	if active {
+		g.head() // the heads decide the order, so dead entries are dropped first
+	}
 	switch in := t.groups.has(g); {
 	case active && in:
 		t.groups.fix(g)
