Give every log line an event and keep the reason of a refusal across daemons

Cause: 14 log calls of job, request and config wrote message= or nothing; a refusal by another daemon had the reason "remote". Ruled out: a hook that renames message, which would hide lines without a name. Before: reason=remote, detail with kind and reason twice. Conclusion: metrics by reason count the real one.

--- a/config/read.go
+++ b/config/read.go
@@ -65,7 +65,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if (err == nil) != (s.logErr == nil) {
-		s.cfg.Logger.Info().Str("event", "config_log_reachable").Bool("reachable", err == nil).Err(err).Msg("")
+		s.cfg.Logger.Info().Str("event", "config_log_reachable").Bool("reachable", err == nil).Err(err).Send()
 	}
 	s.logErr = err
 }
@@ -260,7 +260,7 @@
 	s.mu.Unlock()
 	im, ok, err := s.cfg.Peers.Newest(ctx, have)
 	if err != nil {
-		s.cfg.Logger.Debug().Str("event", "config_peers_failed").Err(err).Msg("")
+		s.cfg.Logger.Debug().Str("event", "config_peers_failed").Err(err).Send()
 		return
 	}
 	if ok {
--- a/config/snapshotter.go
+++ b/config/snapshotter.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		if err := s.Write(ctx); err != nil && ctx.Err() == nil {
-			s.cfg.Logger.Warn().Str("event", "config_snapshot_failed").Err(err).Msg("")
+			s.cfg.Logger.Warn().Str("event", "config_snapshot_failed").Err(err).Send()
 		}
 	}
 	return ctx.Err()
@@ -122,7 +122,7 @@
 		}
 		size += len(r)
 	}
-	s.cfg.Logger.Info().Str("event", "config_snapshot").Uint64("version", uint64(im.State.Version)).Int("parts", len(records)).Int("bytes", size).Msg("")
+	s.cfg.Logger.Info().Str("event", "config_snapshot").Uint64("version", uint64(im.State.Version)).Int("parts", len(records)).Int("bytes", size).Send()
 	return nil
 }
 
--- a/config/store.go
+++ b/config/store.go
@@ -180,7 +180,7 @@
 	s.im, s.started = im, true
 	s.metrics.images.WithLabelValues(source, "installed").Inc()
 	s.cfg.Logger.Info().Str("event", "config_installed").Str("source", source).
-		Uint64("version", uint64(im.State.Version)).Uint64("next", uint64(im.Next)).Msg("")
+		Uint64("version", uint64(im.State.Version)).Uint64("next", uint64(im.Next)).Send()
 	s.publishLocked()
 	return true
 }
@@ -199,7 +199,7 @@
 	s.metrics.records.WithLabelValues(v.label()).Inc()
 	switch {
 	case v.ignored != nil:
-		s.cfg.Logger.Warn().Str("event", "config_record_ignored").Uint64("offset", uint64(r.Offset)).Err(v.ignored).Msg("")
+		s.cfg.Logger.Warn().Str("event", "config_record_ignored").Uint64("offset", uint64(r.Offset)).Err(v.ignored).Send()
 	case v.accepted:
 		s.snapshot.bytes += int64(len(r.Data))
 		s.publishLocked()
@@ -256,7 +256,7 @@
 		return
 	}
 	s.ready, s.since = true, s.cfg.Now()
-	s.cfg.Logger.Info().Str("event", "config_ready").Uint64("version", uint64(s.im.State.Version)).Msg("")
+	s.cfg.Logger.Info().Str("event", "config_ready").Uint64("version", uint64(s.im.State.Version)).Send()
 	s.publishLocked()
 }
 
--- a/job/rack.go
+++ b/job/rack.go
@@ -144,7 +144,7 @@
 	r.mu.Lock()
 	r.tenures[k] = t
 	r.mu.Unlock()
-	r.cfg.Logger.Info().Str("rack", string(k)).Uint64("epoch", uint64(e)).Msg("rack_taken")
+	r.cfg.Logger.Info().Str("event", "rack_taken").Str("rack", string(k)).Uint64("epoch", uint64(e)).Send()
 	t.setHosts()
 	t.run()
 	r.mu.Lock()
@@ -153,7 +153,7 @@
 	}
 	r.mu.Unlock()
 	t.workersDone.Wait()
-	r.cfg.Logger.Info().Str("rack", string(k)).Uint64("epoch", uint64(e)).Msg("rack_left")
+	r.cfg.Logger.Info().Str("event", "rack_left").Str("rack", string(k)).Uint64("epoch", uint64(e)).Send()
 }
 
 // tenure returns the running tenure of a rack if this daemon may act for it.
--- a/job/scheduler.go
+++ b/job/scheduler.go
@@ -131,14 +131,14 @@
 	s.mu.Lock()
 	s.shards[k] = sh
 	s.mu.Unlock()
-	s.cfg.Logger.Info().Str("shard", string(k)).Uint64("epoch", uint64(e)).Msg("shard_taken")
+	s.cfg.Logger.Info().Str("event", "shard_taken").Str("shard", string(k)).Uint64("epoch", uint64(e)).Send()
 	sh.run()
 	s.mu.Lock()
 	if s.shards[k] == sh {
 		delete(s.shards, k)
 	}
 	s.mu.Unlock()
-	s.cfg.Logger.Info().Str("shard", string(k)).Uint64("epoch", uint64(e)).Msg("shard_left")
+	s.cfg.Logger.Info().Str("event", "shard_left").Str("shard", string(k)).Uint64("epoch", uint64(e)).Send()
 }
 
 // shard returns a shard that this daemon may act for and that has read its records.
--- a/job/shard_recover.go
+++ b/job/shard_recover.go
@@ -73,7 +73,7 @@
 		}
 		sh.restore(j)
 	}
-	sh.s.cfg.Logger.Info().Str("shard", string(sh.key)).Int("jobs", len(sh.jobs)).Msg("shard_recovered")
+	sh.s.cfg.Logger.Info().Str("event", "shard_recovered").Str("shard", string(sh.key)).Int("jobs", len(sh.jobs)).Send()
 }
 
 // restore lets the engine plan what is missing of a job.
--- a/job/wire.go
+++ b/job/wire.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"strings"
 	"time"
 
 	"storj.io/drpc/drpcerr"
@@ -67,6 +68,18 @@
 // wireCodeBase keeps the codes apart from those that drpc uses itself.
 const wireCodeBase = 1000
 
+// reasonEnd separates the reason from the detail in the text of an error.
+const reasonEnd = ": "
+
+// detailOf returns the detail of err without its kind and reason.
+func detailOf(err error) string {
+	var e *errkind.Error
+	if errors.As(err, &e) {
+		return e.Detail
+	}
+	return err.Error()
+}
+
 // toWire adds the kind of err to the error that drpc sends.
 func toWire(err error) error {
 	if err == nil {
@@ -75,7 +88,7 @@
 	k := errkind.Of(err)
 	for i, w := range wireKinds {
 		if w == k {
-			return drpcerr.WithCode(errors.New(errkind.ReasonOf(err)+": "+err.Error()), wireCodeBase+uint64(i))
+			return drpcerr.WithCode(errors.New(errkind.ReasonOf(err)+reasonEnd+detailOf(err)), wireCodeBase+uint64(i))
 		}
 	}
 	return err
@@ -92,7 +105,11 @@
 		return err
 	}
 	if c := drpcerr.Code(err); c >= wireCodeBase && c < wireCodeBase+uint64(len(wireKinds)) {
-		return errkind.Wrap(wireKinds[c-wireCodeBase], "remote", err)
+		reason, detail, ok := strings.Cut(err.Error(), reasonEnd)
+		if !ok {
+			reason, detail = "remote", err.Error()
+		}
+		return &errkind.Error{Kind: wireKinds[c-wireCodeBase], Reason: reason, Detail: detail, Err: err}
 	}
 	return errkind.Wrap(errkind.OutcomeUnknown, "call_failed", err)
 }
--- a/request/group_run.go
+++ b/request/group_run.go
@@ -129,8 +129,8 @@
 	}
 	x.health.eject(now, g.s.cfg.EjectTime)
 	g.s.metrics.ejections.WithLabelValues(reason).Inc()
-	g.s.cfg.Log.Warn().Str("group", string(g.key)).Str("executor", x.host.ID).Str("reason", reason).
-		Time("until", x.health.until).Msg("executor_ejected")
+	g.s.cfg.Log.Warn().Str("event", "executor_ejected").Str("group", string(g.key)).Str("executor", x.host.ID).Str("reason", reason).
+		Time("until", x.health.until).Send()
 }
 
 // probe says hello to the executors that are due and ends ejections.
@@ -191,7 +191,7 @@
 			all = append(all, c)
 		}
 		g.giveUp(x, all)
-		g.s.cfg.Log.Warn().Str("group", string(g.key)).Str("executor", x.host.ID).Err(err).Msg("executor_unreachable")
+		g.s.cfg.Log.Warn().Str("event", "executor_unreachable").Str("group", string(g.key)).Str("executor", x.host.ID).Err(err).Send()
 	}
 }
 
--- a/request/groups.go
+++ b/request/groups.go
@@ -199,7 +199,7 @@
 		return // the next report replaces this one
 	}
 	if _, err := rpc.NewDRPCRequestPathClient(conn).ReportLoad(ctx, report); err != nil {
-		o.s.cfg.Log.Debug().Str("peer", peer).Err(err).Msg("load_report_failed")
+		o.s.cfg.Log.Debug().Str("event", "load_report_failed").Str("peer", peer).Err(err).Send()
 	}
 }
 
