--- a/cmd/sassafraslbd/main.go
+++ b/cmd/sassafraslbd/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	_ "time/tzdata" // entry hosts may lack the time zone database
 
@@ -18,16 +17,7 @@
 	"github.com/sassafraslb/sassafraslb/settings"
 )
 
-// The heap of a daemon is small beside its limit of 128 MB, so it is collected
-// less often than Go does by default, until it nears the limit.
-const (
-	gcPercent       = 400
-	softMemoryLimit = 100 << 20 // bytes
-)
-
 func main() {
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(softMemoryLimit)
 	app := kingpin.New("sassafraslbd", "Cluster scheduler daemon: routes requests to executors and places jobs on workers.")
 	run := app.Command("run", "Run the daemon until SIGTERM or SIGINT, then stop without cutting open calls.").Default()
 	runConfig := run.Flag("config", "Settings file: JSON with comments (docs/settings.md).").Required().ExistingFile()
