--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -47,7 +47,7 @@
 func row(b *testing.B, m mix, name string) string {
 	limit := 0
 	if strings.HasPrefix(m.name, "churn") {
-		limit = 3 * len(m.nodes) // bounded, because the baselines scan every worker
+		limit = 10 * len(m.nodes) // bounded, because the baselines scan every worker
 	}
 	o, allocs := replay(b, m, newPlacer(name), limit)
 	var waits []string
--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -336,7 +336,7 @@
 	steps := func(n int) float64 {
 		m := churnMix(n, 1)
 		e := New(Config{})
-		o, _ := replay(t, m, e, 2*n)
+		o, _ := replay(t, m, e, 10*n)
 		s := e.Stats()
 		return float64(s.IndexSteps+s.NodesExamined) / float64(o.placed)
 	}
