--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Packages whose tests run under the race detector.
 RACE ?= -race
 
-.PHONY: build test lint demo bench soak generate clean
+.PHONY: build test lint demo bench bench-compare soak generate clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -32,3 +32,9 @@
 
 demo: build
 	$(BIN)/sassafras-demo
+
+# SOAK is the length of the random schedule of faults, SEED its seed.
+SOAK ?= 2m
+SEED ?= 1
+soak: build
+	$(GO) test -count=1 -timeout 60m -run TestSoak -v ./internal/cluster -soak $(SOAK) -seed $(SEED)
--- a/internal/cluster/cell_test.go
+++ b/internal/cluster/cell_test.go
@@ -241,14 +241,18 @@
 		x.t.Error(b)
 	}
 	answered, unknown := 0, 0
+	reasons := make(map[string]int)
 	for _, a := range attempts {
 		if a.Answer {
 			answered++
-		} else if a.Outcome == "unknown" {
+			continue
+		}
+		if a.Outcome == "unknown" {
 			unknown++
 		}
+		reasons[string(a.Outcome)+"/"+a.Reason]++
 	}
-	x.t.Logf("%d calls, %d answered, %d with unknown outcome; %d task runs", len(attempts), answered, unknown, len(workers))
+	x.t.Logf("%d calls, %d answered, %d with unknown outcome %v; %d task runs", len(attempts), answered, unknown, reasons, len(workers))
 	if answered == 0 {
 		x.t.Error("no call was answered")
 	}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -76,7 +76,9 @@
 // Start starts the stand-ins and the daemons.
 func Start(ctx context.Context, opts Options) (*Cluster, error) {
 	c := &Cluster{
-		opts: opts, http: &http.Client{Timeout: 10 * time.Second}, lists: make(map[zone.Region]*Node),
+		opts: opts, lists: make(map[zone.Region]*Node),
+		// A connection of its own for each call, so that silent connections do not hold up checks.
+		http:  &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 		links: &links{delay: opts.LinkDelay, byTarget: make(map[string]*Forwarder)},
 	}
 	if err := c.startAll(ctx); err != nil {
