Refuse requests as not ready while no configuration is in force

Ruled out: holding the call, since the balancer should not send it at all before /readyz. Before: not_found. After: not_ready; for a non-repeatable id given by the caller outcome_unknown, because an earlier call may have run it.

--- a/daemon/api_requests.go
+++ b/daemon/api_requests.go
@@ -8,6 +8,8 @@
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/samber/do/v2"
 
+	"github.com/sassafraslb/sassafraslb/config"
+	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/request"
 )
 
@@ -34,11 +36,24 @@
 	huma.Register(api, op, d.runRequest)
 }
 
+// refuseUnready refuses calls while no configuration is in force, because every
+// customer would be unknown. An earlier call with the same id may have run.
+func (d *Daemon) refuseUnready(c request.Call) error {
+	err := do.MustInvoke[*config.Store](d.injector).Ready()
+	if err != nil && c.ID != "" && !c.Class.Repeatable() {
+		return errkind.New(errkind.OutcomeUnknown, "not_ready", "not run by this call: %s", err)
+	}
+	return err
+}
+
 func (d *Daemon) runRequest(ctx context.Context, in *requestInput) (*requestOutput, error) {
 	call := request.Call{Customer: in.Customer, Class: request.Class(in.Class), ID: in.ID, Body: in.RawBody}
 	if in.DeadlineMS > 0 {
 		call.Deadline = time.Now().Add(time.Duration(in.DeadlineMS) * time.Millisecond)
 	}
+	if err := d.refuseUnready(call); err != nil {
+		return nil, answerFor(err, in.ID)
+	}
 	a, err := do.MustInvoke[*request.Service](d.injector).Do(ctx, call)
 	if err != nil {
 		id := in.ID
