--- /dev/null
+++ b/daemon/page_test.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+
+	"github.com/sassafraslb/sassafraslb/link"
+	"github.com/sassafraslb/sassafraslb/settings"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+func readPage(t *testing.T, name string) string {
+	t.Helper()
+	page, err := os.ReadFile("../docs/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(page)
+}
+
+var descForm = regexp.MustCompile(`fqName: "([^"]+)".*variableLabels: \{([^}]*)\}`)
+
+// Guards against a metric or label that docs/metrics.md lacks, or that it describes after its removal.
+func TestPageListsMetrics(t *testing.T) {
+	set := settings.Default()
+	set.DaemonID, set.Zone, set.LogRegion = "entry-1", "a", "r"
+	set.Regions = map[zone.Region][]zone.Name{"r": {"a"}}
+	set.RPCAddress = "127.0.0.1:0"
+	set.LogURL, set.HostsURL = "http://127.0.0.1:1", "http://127.0.0.1:1"
+	i, err := wire(&set, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	(&Daemon{set: &set, injector: i}).runners() // builds the parts that no other part needs
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	defer func() { _ = do.MustInvoke[*link.Server](i).Run(ctx) }() // closes the listener
+	descs := make(chan *prometheus.Desc)
+	go func() {
+		do.MustInvoke[*prometheus.Registry](i).Describe(descs)
+		close(descs)
+	}()
+	known := make(map[string]bool)
+	page := readPage(t, "metrics.md")
+	for d := range descs {
+		m := descForm.FindStringSubmatch(d.String())
+		if m == nil {
+			t.Fatalf("cannot read %s", d)
+		}
+		if !strings.HasPrefix(m[1], "sassafras") {
+			continue // of the Go runtime and the process
+		}
+		known[m[1]] = true
+		labels := "-"
+		if m[2] != "" {
+			labels = "`" + strings.ReplaceAll(m[2], ",", "`, `") + "`"
+		}
+		row := regexp.MustCompile(fmt.Sprintf("(?m)^\\| `%s` \\| (counter|gauge|histogram) \\| %s \\|", m[1], regexp.QuoteMeta(labels)))
+		if !row.MatchString(page) {
+			t.Errorf("page lacks metric %s with labels %s", m[1], labels)
+		}
+	}
+	for _, m := range regexp.MustCompile("(?m)^\\| `(sassafras[a-z_]+)`").FindAllStringSubmatch(page, -1) {
+		if !known[m[1]] {
+			t.Errorf("page has metric %s, which does not exist", m[1])
+		}
+	}
+}
+
+// labelCalls are the calls whose literal arguments become reasons or label values, with the first argument that counts.
+var labelCalls = map[string]int{"New": 1, "Wrap": 1, "WithLabelValues": 0, "inc": 0, "add": 0}
+
+// Guards against a refusal or retry reason that operators meet and docs/metrics.md does not explain.
+func TestPageListsReasons(t *testing.T) {
+	page := readPage(t, "metrics.md")
+	found := 0
+	for _, pkg := range []string{"request", "job", "placement", "config", "machine"} {
+		files, err := filepath.Glob("../" + pkg + "/*.go")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range files {
+			if strings.HasSuffix(name, "_test.go") {
+				continue
+			}
+			fset := token.NewFileSet()
+			file, err := parser.ParseFile(fset, name, nil, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ast.Inspect(file, func(n ast.Node) bool {
+				for _, label := range labelsOf(n) {
+					found++
+					if !strings.Contains(page, "`"+label+"`") {
+						t.Errorf("%s: page lacks %q", fset.Position(n.Pos()), label)
+					}
+				}
+				return true
+			})
+		}
+	}
+	if found == 0 {
+		t.Error("no reason found in the code; the search is broken")
+	}
+}
+
+// labelsOf returns the literal reasons and label values of one call.
+func labelsOf(n ast.Node) []string {
+	call, ok := n.(*ast.CallExpr)
+	if !ok {
+		return nil
+	}
+	fun, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return nil
+	}
+	from, ok := labelCalls[fun.Sel.Name]
+	if !ok {
+		return nil
+	}
+	args := call.Args
+	if from == 1 { // errkind.New(kind, reason, ...)
+		if x, ok := fun.X.(*ast.Ident); !ok || x.Name != "errkind" || len(args) < 2 {
+			return nil
+		}
+		args = args[1:2]
+	}
+	var out []string
+	for _, a := range args {
+		if lit, ok := a.(*ast.BasicLit); ok && lit.Kind == token.STRING {
+			if s, err := strconv.Unquote(lit.Value); err == nil && s != "" {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
