--- a/cmd/sassafrasctl/cell.go
+++ b/cmd/sassafrasctl/cell.go
@@ -66,6 +66,9 @@
 		if err := t.call(ctx, http.MethodGet, "/v1/doctor", nil, &problems); err != nil {
 			return err
 		}
+		if problems == nil {
+			problems = []daemon.Problem{} // "[]" in JSON, not "null"
+		}
 		err := t.print(problems, func(row func(...any)) {
 			if len(problems) == 0 {
 				row("no problem found")
--- a/cmd/sassafrasctl/jobs.go
+++ b/cmd/sassafrasctl/jobs.go
@@ -76,15 +76,11 @@
 
 // readJob reads a job from a file and puts the fields given as flags over it.
 func readJob(path string, body, flags *daemon.JobBody) error {
-	var in io.Reader = os.Stdin
-	if path != "-" {
-		f, err := os.Open(path)
-		if err != nil {
-			return errors.Wrap(err, "read job")
-		}
-		defer func() { _ = f.Close() }()
-		in = f
+	in, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "read job")
 	}
+	defer func() { _ = in.Close() }()
 	dec := json.NewDecoder(in)
 	dec.DisallowUnknownFields()
 	*body = daemon.JobBody{}
@@ -203,8 +199,8 @@
 }
 
 func (t *tool) requestCommand(app *kingpin.Application) command {
-	c := app.Command("request", "Run a request on an executor and print its answer.\n\nExample:\n"+
-		"  echo 'lot 4711' | sassafrasctl request quote --customer carpets-monza")
+	c := app.Command("request", "Run a request, whose body is standard input, on an executor and print its answer.\n\nExample:\n"+
+		"  echo 'lot 4711' | sassafrasctl request quote --customer banco-lombardia")
 	class := c.Arg("class", "valuation, reconciliation, batch, quote or nudge.").Required().Enum("valuation", "reconciliation", "batch", "quote", "nudge")
 	customer := c.Flag("customer", "Customer that asks.").Required().String()
 	id := c.Flag("id", "Request id (ULID). To repeat a request whose outcome is unknown, give its id.").String()
--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 
 	"github.com/sassafraslb/sassafraslb/client"
 	"github.com/sassafraslb/sassafraslb/errkind"
@@ -54,12 +55,13 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
-func run(args []string) int {
+// newApp returns the command line with all its commands.
+func newApp() (*kingpin.Application, []command) {
 	app := kingpin.New("sassafrasctl", "Submit work, apply the morning sheet, and see what the cell does.\n\n"+
 		"Shell completion: eval \"$(sassafrasctl --completion-script-bash)\"")
 	app.HelpFlag.Short('h')
 	t := &tool{
-		servers: app.Flag("server", "Base URL of a daemon; repeat it to name several, which are tried in turn.").
+		servers: app.Flag("server", "Base URL of a daemon; repeat it to name several, which are tried in turn. The variable has one URL per line.").
 			Short('s').Envar("SASSAFRAS_SERVERS").Default("http://127.0.0.1:8080").Strings(),
 		output:   app.Flag("output", "table or json.").Short('o').Default("table").Enum("table", "json"),
 		retryFor: app.Flag("retry-for", "How long calls that are safe to repeat are repeated.").Default("10s").Duration(),
@@ -70,7 +72,22 @@
 	commands = append(commands, t.requestCommand(app))
 	commands = append(commands, t.sheetCommands(app)...)
 	commands = append(commands, t.cellCommands(app)...)
-	name, err := app.Parse(args)
+	return app, commands
+}
+
+// stdinPath replaces "-", which kingpin reads as a flag without a name.
+const stdinPath = "/dev/stdin"
+
+// withStdin returns args with each "-" replaced by stdinPath.
+func withStdin(args []string) []string {
+	return lo.Map(args, func(a string, _ int) string {
+		return lo.Ternary(a == "-", stdinPath, a)
+	})
+}
+
+func run(args []string) int {
+	app, commands := newApp()
+	name, err := app.Parse(withStdin(args))
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "sassafrasctl: %s, see sassafrasctl --help\n", err)
 		return exitUsage
--- a/cmd/sassafrasctl/sheet.go
+++ b/cmd/sassafrasctl/sheet.go
@@ -48,13 +48,11 @@
 	if err != nil {
 		return nil, err
 	}
-	in := os.Stdin
-	if *f.file != "-" {
-		if in, err = os.Open(*f.file); err != nil {
-			return nil, errors.Wrap(err, "read sheet")
-		}
-		defer func() { _ = in.Close() }()
+	in, err := os.Open(*f.file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read sheet")
 	}
+	defer func() { _ = in.Close() }()
 	day := *f.day
 	if day == "" {
 		day = config.LocalDate(time.Now(), loc)
