--- /dev/null
+++ b/daemon/operations_test.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/sassafraslb/sassafraslb/contract"
+)
+
+var (
+	eventField   = regexp.MustCompile(`Str\("event", "([a-z_]+)"\)`)
+	eventMessage = regexp.MustCompile(`\.Msg\("([a-z_]+)"\)`)
+	problemForm  = regexp.MustCompile(`Problem\{"([a-z_]+)"`)
+)
+
+// Guards against a log event that docs/operations.md does not explain, or that it puts in the wrong field.
+func TestPageListsEvents(t *testing.T) {
+	page := readPage(t, "operations.md")
+	_, table, _ := strings.Cut(page, "## Log events")
+	found := 0
+	for _, pattern := range []string{"../*/*.go", "../cmd/sassafraslbd/*.go"} {
+		files, err := filepath.Glob(pattern)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range files {
+			if strings.HasSuffix(name, "_test.go") {
+				continue
+			}
+			code, err := os.ReadFile(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range eventField.FindAllStringSubmatch(string(code), -1) {
+				found++
+				if !strings.Contains(table, "`"+m[1]+"`") || strings.Contains(table, "`"+m[1]+"`*") {
+					t.Errorf("%s: page lacks event %s, or marks it as a message", name, m[1])
+				}
+			}
+			for _, m := range eventMessage.FindAllStringSubmatch(string(code), -1) {
+				found++
+				if !strings.Contains(table, "`"+m[1]+"`*") {
+					t.Errorf("%s: page lacks event %s with the mark of a message", name, m[1])
+				}
+			}
+		}
+	}
+	if found == 0 {
+		t.Error("no event found in the code; the search is broken")
+	}
+}
+
+// Guards against a problem that doctor reports and docs/operations.md does not explain.
+func TestPageListsProblems(t *testing.T) {
+	page := readPage(t, "operations.md")
+	code, err := os.ReadFile("health.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, m := range problemForm.FindAllStringSubmatch(string(code), -1) {
+		if !strings.HasSuffix(m[1], "_") { // a prefix, completed below
+			names = append(names, m[1])
+		}
+	}
+	if len(names) == 0 {
+		t.Error("no problem found in the code; the search is broken")
+	}
+	for _, k := range []contract.KeyKind{contract.Rack, contract.Exec, contract.Jobs, contract.IDs} {
+		names = append(names, string(k)+"_without_owner", string(k)+"_without_tenure")
+	}
+	for _, n := range append(names, "daemon_suspected", "daemon_dead") {
+		if !strings.Contains(page, "`"+n+"`") {
+			t.Errorf("page lacks problem %s", n)
+		}
+	}
+}
