--- a/settings/page_test.go
+++ b/settings/page_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"os"
 	"reflect"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 )
 
 // pageRows returns field, unit, default and bounds of each field in the table of docs/settings.md.
@@ -89,3 +92,65 @@
 		t.Error(err)
 	}
 }
+
+// boundsForm reads "10ms to 1m" and what may follow it.
+var boundsForm = regexp.MustCompile(`^(\S+) to ([^\s,]+)`)
+
+// setField sets the field at a dotted path to v, a time or a number as the page writes it.
+func setField(t *testing.T, s *Settings, path, v string, beyond float64) {
+	t.Helper()
+	f := reflect.ValueOf(s).Elem()
+	for _, name := range strings.Split(path, ".") {
+		f = f.Field(fieldsByName(f.Type())[name])
+	}
+	if f.Type() == reflect.TypeFor[Duration]() {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		f.SetInt(int64(d) + int64(beyond))
+		return
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	if f.CanFloat() {
+		f.SetFloat(n + beyond)
+	} else {
+		f.SetInt(int64(n + beyond))
+	}
+}
+
+// Guards against bounds on the page that the check does not have: each bound is accepted, and the next value is not.
+func TestPageBounds(t *testing.T) {
+	tested := 0
+	for path, row := range pageRows(t) {
+		m := boundsForm.FindStringSubmatch(row[3])
+		if m == nil {
+			continue
+		}
+		tested++
+		for _, c := range []struct {
+			value  string
+			beyond float64
+			refuse bool
+		}{{m[1], 0, false}, {m[1], -1, true}, {m[2], 0, false}, {m[2], 1, true}} {
+			s, err := Parse([]byte(valid))
+			if err != nil {
+				t.Fatal(err)
+			}
+			setField(t, s, path, c.value, c.beyond)
+			refused := false
+			for _, f := range check(s, nil) {
+				refused = refused || f.Field == path && strings.Contains(f.Text, " to ")
+			}
+			if refused != c.refuse {
+				t.Errorf("%s: bound %s with %+g: refused %v, want %v", path, c.value, c.beyond, refused, c.refuse)
+			}
+		}
+	}
+	if tested == 0 {
+		t.Error("no bounds found on the page; the search is broken")
+	}
+}
