--- /dev/null
+++ b/internal/cluster/takeover_bench_test.go
@@ -0,0 +1,80 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/machine"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// targetTakeover is the time from the death of an owner until its keys are served again.
+const targetTakeover = 5 * time.Second
+
+// BenchmarkTakeover kills daemons one after another at default settings and
+// measures the time until other daemons may act for all their keys. Run it with
+// -benchtime 3x: eight daemons last for three deaths in one region.
+func BenchmarkTakeover(b *testing.B) {
+	bin, err := filepath.Abs("../../bin")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	c, err := Start(ctx, Options{
+		Bin: bin, Dir: b.TempDir(),
+		Regions:   map[zone.Region][]zone.Name{"lombardy": {"lom-bergamo", "lom-monza"}, "veneto": {"ven-treviso"}},
+		LogRegion: "lombardy", TimeZone: "Europe/Rome", Daemons: eightDaemons, Workers: 8, Executors: 4,
+		Capacity: machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768}, ServiceTime: 10 * time.Millisecond,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.Owned(ctx, c.Daemons[0]); err != nil {
+		b.Fatal(err)
+	}
+	before, err := c.logAppends(ctx)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var worst, sum time.Duration
+	var dead []string
+	for i := range b.N {
+		victim := c.Daemons[1+i%3]
+		victim.Kill()
+		dead = append(dead, victim.ID)
+		start := time.Now()
+		if err := c.Owned(ctx, c.Daemons[0], dead...); err != nil {
+			b.Fatal(err)
+		}
+		took := time.Since(start)
+		sum, worst = sum+took, max(worst, took)
+		// A killed daemon starts anew, so that the region keeps its majority.
+		if err := c.StartDaemon(ctx, victim); err != nil {
+			b.Fatal(err)
+		}
+		dead = nil
+		time.Sleep(targetTakeover)
+	}
+	after, err := c.logAppends(ctx)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(sum.Seconds()/float64(b.N), "takeover-s")
+	b.ReportMetric(worst.Seconds()/targetTakeover.Seconds(), "worst/target")
+	b.ReportMetric(float64(after-before)/float64(b.N), "control-appends/death")
+}
+
+// logAppends returns the number of appends to the control stream.
+func (c *Cluster) logAppends(ctx context.Context) (int, error) {
+	var stats struct {
+		Appends map[string]int `json:"appends"`
+	}
+	err := c.Send(ctx, http.MethodGet, c.Log.URL()+"/v1/stats", nil, &stats)
+	return stats.Appends[platform.StreamControl], err
+}
