Give each process of a test cell an address of its own

freeAddress could return one port twice before its user had started. Seen as 'rpc_address: must differ from http_address': the new daemon of TestRollingReplacement did not start, and the test failed after 180 s.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -269,5 +270,13 @@
 		return "", errors.Wrap(err, "find a free port")
 	}
 	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	address := l.Addr().String()
+	if _, taken := given.LoadOrStore(address, true); taken {
+		return freeAddress()
+	}
+	return address, nil
 }
+
+// given holds the addresses that freeAddress has returned: the system may offer a
+// port again before the process that is to use it has started.
+var given sync.Map
