Leave the membership after open calls are finished

Cause: the leave record was appended in Claimer.Drain, before the open calls were finished, and peers closed connections with calls on them when they read it. Now Drain hands the keys over, Leave follows the open calls, and peers close a connection only when its call has ended. A drain record, appended with the releases, keeps keys from going back to the stopping daemon meanwhile. Answers given during a stop ask callers to use another connection.

--- a/contract/balance.go
+++ b/contract/balance.go
@@ -125,9 +125,9 @@
 	return out
 }
 
-// appendReleases appends the records in one append. If they are certainly not in
+// appendReleases appends the records and those of others in one append. If they are certainly not in
 // the log, this daemon serves the keys again.
-func (c *Claimer) appendReleases(ctx context.Context, recs []releaseRecord) error {
+func (c *Claimer) appendReleases(ctx context.Context, recs []releaseRecord, others ...platform.Envelope) error {
 	group := make([]platform.Envelope, 0, len(recs))
 	c.mu.Lock()
 	for _, rec := range recs {
@@ -142,7 +142,7 @@
 		}
 	}
 	c.mu.Unlock()
-	_, err := c.writer.AppendAll(ctx, group)
+	_, err := c.writer.AppendAll(ctx, append(group, others...))
 	if err == nil || errkind.Of(err) == errkind.AppendUnknown {
 		return err
 	}
@@ -161,8 +161,8 @@
 	return err
 }
 
-// Drain stops claiming, hands all keys over to the daemons that rank first, and
-// appends the leave record. It may be called again after an error.
+// Drain stops claiming and hands all keys over to the daemons that rank first. It
+// may be called again after an error. The daemon stays a member until Leave.
 func (c *Claimer) Drain(ctx context.Context) error {
 	c.mu.Lock()
 	c.draining = true
@@ -185,11 +185,16 @@
 	}
 	recs := c.stopAndRelease(byTarget)
 	c.mu.Unlock()
-	if len(recs) > 0 {
-		if err := c.appendReleases(ctx, recs); err != nil {
-			return err
-		}
+	e, err := platform.NewEnvelope(kindDrain, leaveRecord{c.self.ID, c.cfg.Incarnation})
+	if err != nil {
+		return err
 	}
+	return c.appendReleases(ctx, recs, e)
+}
+
+// Leave appends the leave record, after which the other daemons end the contact.
+// It must come after Drain and after the open calls are finished.
+func (c *Claimer) Leave(ctx context.Context) error {
 	e, err := platform.NewEnvelope(kindLeave, leaveRecord{c.self.ID, c.cfg.Incarnation})
 	if err != nil {
 		return err
--- a/contract/book.go
+++ b/contract/book.go
@@ -100,6 +100,8 @@
 		decodeInto(e.Body, func(r electorateRecord) { b.foldElectorate(at, r) })
 	case kindJoin:
 		decodeInto(e.Body, b.foldJoin)
+	case kindDrain:
+		decodeInto(e.Body, b.foldDrain)
 	case kindLeave:
 		decodeInto(e.Body, b.foldLeave)
 	case kindGrant:
@@ -119,7 +121,7 @@
 // knows everyone whose claim could win.
 func (b *Book) foldClaim(at uint64, c claimRecord) {
 	d, joined := b.daemons[c.Daemon]
-	if !joined || d.Left || d.Incarnation != c.Incarnation {
+	if !joined || d.Left || d.Draining || d.Incarnation != c.Incarnation {
 		return
 	}
 	electorate := sortedSet(append(slices.Clone(c.Electorate), c.Daemon))
@@ -149,7 +151,7 @@
 		}
 		s.Epoch, s.ElectorateAt, s.NoWait = Epoch(at), at, true
 		s.Owner, s.Incarnation = "", 0
-		if r.To != "" && to.ID == r.To && !to.Left {
+		if r.To != "" && to.ID == r.To && !to.Left && !to.Draining {
 			s.Owner, s.Incarnation = r.To, to.Incarnation
 			s.Electorate = sortedSet(append(slices.Clone(s.Electorate), r.To))
 		} else {
@@ -175,10 +177,19 @@
 	if old, ok := b.daemons[d.ID]; ok && old.Incarnation > d.Incarnation {
 		return
 	}
-	d.Left = false
+	d.Left, d.Draining = false, false
 	b.daemons[d.ID] = d
 }
 
+// foldDrain marks a daemon that stops as planned, so that no key is handed back to
+// it while it finishes its open calls.
+func (b *Book) foldDrain(l leaveRecord) {
+	if d, ok := b.daemons[l.Daemon]; ok && d.Incarnation == l.Incarnation {
+		d.Draining = true
+		b.daemons[l.Daemon] = d
+	}
+}
+
 // foldLeave removes the daemon from the electorates: it may claim again only
 // when an owner has named it after its next join.
 func (b *Book) foldLeave(l leaveRecord) {
--- a/contract/book_test.go
+++ b/contract/book_test.go
@@ -91,6 +91,31 @@
 	}
 }
 
+// Guards against keys that go back to a daemon while it finishes its open calls,
+// and against a mark that outlasts its restart.
+func TestDrainingDaemonGetsNoKeys(t *testing.T) {
+	l := newTestLog()
+	for _, id := range []string{"a", "b"} {
+		l.add(kindJoin, Daemon{ID: id, Incarnation: 1})
+	}
+	k := RackKey("z", "r")
+	l.add(kindClaim, claimRecord{Keys: []claimKey{{Key: k}}, Daemon: "b", Incarnation: 1, Electorate: []string{"a", "b"}})
+	l.add(kindDrain, leaveRecord{"a", 1})
+	l.add(kindClaim, claimRecord{Keys: []claimKey{{Key: k, PrevEpoch: l.book.Key(k).Epoch}}, Daemon: "a", Incarnation: 1})
+	if s := l.book.Key(k); s.Owner != "b" {
+		t.Errorf("a draining daemon won a claim")
+	}
+	l.add(kindRelease, releaseRecord{Keys: []epochKey{{Key: k, Epoch: l.book.Key(k).Epoch}}, From: "b", To: "a"})
+	if s := l.book.Key(k); s.Owner != "" {
+		t.Errorf("owner %q, want none: the release names a draining daemon", s.Owner)
+	}
+	l.add(kindJoin, Daemon{ID: "a", Incarnation: 2})
+	l.add(kindClaim, claimRecord{Keys: []claimKey{{Key: k, PrevEpoch: l.book.Key(k).Epoch}}, Daemon: "a", Incarnation: 2})
+	if s := l.book.Key(k); s.Owner != "a" {
+		t.Errorf("owner %q, want a, which has joined again", s.Owner)
+	}
+}
+
 // addRandom appends a record that some daemon could append, with stale and
 // current epochs, and times that overlap.
 func (l *testLog) addRandom(t *rapid.T, keys []Key) {
--- a/contract/hosts.go
+++ b/contract/hosts.go
@@ -114,7 +114,7 @@
 	var ids []string
 	for _, m := range known {
 		d, joined := c.book.Daemon(m.ID)
-		if joined && !d.Left && !c.leaving[m.ID] && m.State == link.Alive && c.cfg.Members.Eligible(m.ID) {
+		if joined && !d.Left && !d.Draining && !c.leaving[m.ID] && m.State == link.Alive && c.cfg.Members.Eligible(m.ID) {
 			ids = append(ids, m.ID)
 		}
 	}
--- a/contract/records.go
+++ b/contract/records.go
@@ -8,6 +8,7 @@
 	kindRelease    = "release"
 	kindElectorate = "electorate"
 	kindJoin       = "join"
+	kindDrain      = "drain" // body leaveRecord: the daemon takes no more keys
 	kindLeave      = "leave"
 	kindGrant      = "grant"
 	kindSnapshot   = "snapshot"
@@ -54,6 +55,7 @@
 	Address     string      `json:"addr"`
 	Zone        zone.Name   `json:"zone"`
 	Region      zone.Region `json:"region"`
+	Draining    bool        `json:"drain,omitempty"` // takes no more keys
 	Left        bool        `json:"left,omitempty"`
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,7 +61,7 @@
 			return nil
 		})
 	}
-	server := &http.Server{Handler: d.handler(), ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: d.closeWhileDraining(d.handler()), ReadHeaderTimeout: 5 * time.Second}
 	group.Go(func() error {
 		if err := server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
@@ -115,9 +115,25 @@
 	// Other daemons may still send calls here until they have read of the handover;
 	// these are refused as not run, which a closed connection could not say.
 	sleep(ctx, d.set.DrainNotice.Std())
+	if err := do.MustInvoke[*contract.Claimer](d.injector).Leave(ctx); err != nil {
+		// The other daemons find out by missing heartbeats or from the host list.
+		d.log.Warn().Str("event", "leave_not_appended").Err(err).Send()
+	}
 	d.log.Info().Str("event", "drain_finished").Send()
 }
 
+// closeWhileDraining asks callers to use another connection once the stop has
+// begun. A request that is sent on an idle connection while the server closes it
+// gets no answer, and the caller cannot know whether it ran.
+func (d *Daemon) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (d *Daemon) closeServer(server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.DrainLimit.Std())
 	defer cancel()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -153,6 +153,36 @@
 	}
 }
 
+// Guards against open calls that a planned stop of the far end cuts off: the
+// leave record must end no call, only refuse new ones.
+func TestOpenCallOutlivesLeave(t *testing.T) {
+	a, b := startNode(t, "a", "z1", nil), startNode(t, "b", "z1", nil)
+	meet(a, b)
+	conn, err := a.Conn(t.Context(), "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	call, err := rpc.NewDRPCLinkClient(conn).Heartbeats(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := b.Self()
+	left.State = link.Left
+	a.SetKnown(left)
+	eventually(t, "new calls are refused", func() bool {
+		_, err := a.Conn(t.Context(), "b")
+		return errkind.Of(err) == errkind.Unreachable
+	})
+	for seq := uint64(1); seq <= 3; seq++ {
+		if err := call.Send(&rpc.Beat{Seq: seq, Daemon: "a"}); err != nil {
+			t.Fatalf("open call after the leave: %v", err)
+		}
+		if echo, err := call.Recv(); err != nil || echo.Seq != seq {
+			t.Fatalf("open call after the leave: %v, %v", echo, err)
+		}
+	}
+}
+
 // Guards against a call that waits for ever on a connection that went silent.
 func TestCallOnSilentConnectionFails(t *testing.T) {
 	l := standin.NewLog(standin.LogConfig{})
--- a/link/peer.go
+++ b/link/peer.go
@@ -51,12 +51,17 @@
 	p.member = k
 }
 
+// leave ends the contact with the peer. Open calls are finished: a daemon that
+// stops as planned still answers those it has accepted.
 func (p *peer) leave() {
+	if p.member.State == Left {
+		return
+	}
 	p.member.State = Left
 	if p.cancel != nil {
 		p.cancel()
 	}
-	go p.pool.closeAll()
+	go p.pool.retire()
 }
 
 // beat keeps one heartbeat stream to a peer and replaces it when it goes silent.
--- a/link/pool.go
+++ b/link/pool.go
@@ -20,9 +20,10 @@
 	probeTimeout time.Duration
 	maxIdle      int
 
-	mu   sync.Mutex
-	idle []idleConn
-	all  map[*drpcconn.Conn]struct{}
+	mu      sync.Mutex
+	idle    []idleConn
+	all     map[*drpcconn.Conn]struct{}
+	retired bool // no new call; a connection is closed when its call ends
 }
 
 type idleConn struct {
@@ -33,6 +34,12 @@
 // take returns a connection that answered recently. Errors are of kind
 // unreachable; nothing of the caller's request was sent.
 func (p *pool) take(ctx context.Context) (*drpcconn.Conn, error) {
+	p.mu.Lock()
+	retired := p.retired
+	p.mu.Unlock()
+	if retired {
+		return nil, errkind.New(errkind.Unreachable, "peer_left", "the peer has left")
+	}
 	for {
 		ic, ok := p.pop()
 		if !ok {
@@ -79,7 +86,7 @@
 func (p *pool) put(c *drpcconn.Conn) {
 	p.mu.Lock()
 	_, known := p.all[c]
-	keep := known && !closed(c) && len(p.idle) < p.maxIdle
+	keep := known && !p.retired && !closed(c) && len(p.idle) < p.maxIdle
 	if keep {
 		p.idle = append(p.idle, idleConn{c, time.Now()})
 	}
@@ -107,6 +114,14 @@
 	}
 }
 
+// retire refuses new calls and closes each connection when its call has ended.
+func (p *pool) retire() {
+	p.mu.Lock()
+	p.retired = true
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
 func (p *pool) closeAll() {
 	p.mu.Lock()
 	all := p.all
