Wait for the new owner of an id shard within the deadline

Cause: while an entry and a daemon have read different parts of the log, the recorder answers not_recorder, which is certain to be 'not run by this call'. Entries gave up after four attempts, about 35 ms, and had to call an id that the caller gave unknown. They now look for the owner for up to OwnerWait (5 s).

--- a/request/config.go
+++ b/request/config.go
@@ -53,6 +53,8 @@
 	RetryBurst  float64       // retries allowed at once; default 20
 	RetryBase   time.Duration // backoff of the first retry; default 5 ms
 
+	OwnerWait time.Duration // for a new owner of an id shard, within the deadline; default 5 s, the target of a takeover
+
 	EjectFailures int           // failures in a row; default 5
 	EjectSlow     float64       // factor over the median run time; default 4
 	EjectShare    float64       // of a group; default 1/3
@@ -97,6 +99,7 @@
 	orDefault(&c.RetryShare, 0.1)
 	orDefault(&c.RetryBurst, 20)
 	orDefault(&c.RetryBase, 5*time.Millisecond)
+	orDefault(&c.OwnerWait, 5*time.Second)
 	orDefault(&c.EjectFailures, 5)
 	orDefault(&c.EjectSlow, 4)
 	orDefault(&c.EjectShare, 1.0/3)
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -103,7 +103,8 @@
 func (s *Service) viaRecorder(ctx context.Context, r *request, home zone.Region, given bool) reply {
 	s.retries.call()
 	var unknown error
-	for attempt := 1; ; attempt++ {
+	waits, until := 0, time.Now().Add(s.cfg.OwnerWait)
+	for attempt := 1; ; {
 		rep := s.askRecorder(ctx, r, home, given || unknown != nil)
 		if rep.err == nil {
 			return rep
@@ -113,13 +114,44 @@
 		if lost {
 			unknown = rep.err
 		}
-		moved := kind == errkind.Unreachable || kind == errkind.NotOwner || kind == errkind.Draining
-		if !lost && !moved || !s.retry(ctx, r, attempt, errkind.ReasonOf(rep.err)) {
+		reason := errkind.ReasonOf(rep.err)
+		moved := kind == errkind.Unreachable || kind == errkind.NotOwner || kind == errkind.Draining || reason == "no_recorder"
+		switch {
+		case moved && s.awaitOwner(ctx, r, waits, until, reason):
+			waits++
+		case lost && s.retry(ctx, r, attempt, reason):
+			attempt++
+		default:
 			return s.certain(settle(rep, unknown), given)
 		}
 	}
 }
 
+// maxOwnerBackoff is the longest pause between two looks for the owner of a key.
+const maxOwnerBackoff = 100 * time.Millisecond
+
+// awaitOwner pauses after a refusal that says only that the owner has changed. It
+// reports false when the time has passed. The refused call ran nothing, so that
+// neither MaxAttempts nor the retry budget, which protect executors, apply; the
+// pauses bound the calls to about ten per second.
+func (s *Service) awaitOwner(ctx context.Context, r *request, waits int, until time.Time, reason string) bool {
+	limit := min(time.Until(until), time.Until(r.deadline))
+	backoff := min(s.cfg.RetryBase<<min(waits, 10), maxOwnerBackoff)
+	backoff = time.Duration((0.5 + s.rng.float()/2) * float64(backoff))
+	if limit <= backoff || ctx.Err() != nil {
+		return false
+	}
+	s.metrics.retries.WithLabelValues(reason).Inc()
+	t := time.NewTimer(backoff)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // certain replaces "not run" for an id that the caller gave, unless the recorder
 // said it: an earlier call may have run the id.
 func (s *Service) certain(rep reply, given bool) reply {
