Hand the memory of an id shard over at a planned stop

Cause: the successor of a recorder knew nothing of the ids in the range of its predecessor, and the range reaches up to 5 s past the cut, so that every repeat and every id minted before the cut was id_of_earlier_recorder. Before it releases a shard, the recorder now closes its range for good and hands over its ids with digest and result, the calls that run, and the statement that it runs no other id of the range. The successor uses this only if the log shows that the release at this epoch named it; a release is folded once, so that a paused recorder, a late or repeated message, or a third daemon never leads to a second run. An incomplete handover leaves the outcome unknown. Entries ask the owner of the shard first; the recorder of the granted range only if the owner does not know.

Ruled out: sending the memory after the release, which needs a state in which the successor waits for a message that may never come.

--- a/contract/balance.go
+++ b/contract/balance.go
@@ -125,10 +125,33 @@
 	return out
 }
 
+// announce tells of the id shards that are about to be released.
+func (c *Claimer) announce(ctx context.Context, recs []releaseRecord) {
+	var out []Release
+	c.mu.Lock()
+	for _, rec := range recs {
+		for _, k := range rec.Keys {
+			if k.Key.Kind() == IDs {
+				out = append(out, c.releaseOf(k, rec.To))
+			}
+		}
+	}
+	fn := c.onRelease
+	c.mu.Unlock()
+	if len(out) == 0 {
+		return
+	}
+	// The keys of the release have no owner that acts meanwhile.
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Tenure)
+	defer cancel()
+	fn(ctx, out)
+}
+
 // appendReleases appends the records and those of others in one append. If they are certainly not in
 // the log, this daemon serves the keys again.
 func (c *Claimer) appendReleases(ctx context.Context, recs []releaseRecord, others ...platform.Envelope) error {
 	group := make([]platform.Envelope, 0, len(recs))
+	c.announce(ctx, recs)
 	c.mu.Lock()
 	for _, rec := range recs {
 		e, err := platform.NewEnvelope(kindRelease, rec)
--- a/contract/book.go
+++ b/contract/book.go
@@ -15,6 +15,7 @@
 	Electorate   []string `json:"el,omitempty"` // sorted; who may claim the key
 	ElectorateAt uint64   `json:"ea,omitempty"` // offset of the record that set Electorate, plus one
 	NoWait       bool     `json:"nw,omitempty"` // the owner needs no takeover wait
+	From         Epoch    `json:"f,omitempty"`  // epoch of the owner that released the key to this one
 }
 
 // Book folds the records of stream control. Every reader folds the same records
@@ -150,9 +151,9 @@
 			b.cutGrant(k.Key, k.Epoch, k.CutMS)
 		}
 		s.Epoch, s.ElectorateAt, s.NoWait = Epoch(at), at, true
-		s.Owner, s.Incarnation = "", 0
+		s.Owner, s.Incarnation, s.From = "", 0, 0
 		if r.To != "" && to.ID == r.To && !to.Left && !to.Draining {
-			s.Owner, s.Incarnation = r.To, to.Incarnation
+			s.Owner, s.Incarnation, s.From = r.To, to.Incarnation, k.Epoch
 			s.Electorate = sortedSet(append(slices.Clone(s.Electorate), r.To))
 		} else {
 			s.Electorate = nil
--- a/contract/claimer.go
+++ b/contract/claimer.go
@@ -44,7 +44,9 @@
 	stopped map[Key]Epoch // released, or about to be: no command is sent
 	doubts  doubts
 	cut     func(Key) int64
-	watch   watchers
+	// onRelease is called with the id shards of releases before they are appended.
+	onRelease func(context.Context, []Release)
+	watch     watchers
 
 	balancedAt time.Time
 	snapshotAt time.Time
@@ -72,7 +74,7 @@
 		gone: make(map[string]bool), leaving: make(map[string]bool), hosts: make(map[string]link.Member),
 		promises: make(map[Key]time.Time), promised: make(map[Key]time.Time),
 		vacant: make(map[Key]time.Time), readyAt: make(map[Key]readiness), stopped: make(map[Key]Epoch),
-		cut: func(Key) int64 { return 0 },
+		cut: func(Key) int64 { return 0 }, onRelease: func(context.Context, []Release) {},
 	}
 	c.doubts.init()
 	return c, nil
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return err
 	}
+	do.MustInvoke[*contract.Grants](i).OnRelease(requests.HandOver)
 	if _, err := do.Invoke[*config.Snapshotter](i); err != nil {
 		return err
 	}
--- a/request/call.go
+++ b/request/call.go
@@ -62,6 +62,10 @@
 	Granted(shard contract.Key, ms int64) (e contract.Epoch, daemon string, ok bool)
 	// Horizon returns the end of the last grant.
 	Horizon(shard contract.Key) int64
+	// Predecessor returns the epoch at which the shard was released to this daemon,
+	// and this daemon's own epoch; ok is false if it does not hold the shard or
+	// claimed it.
+	Predecessor(shard contract.Key) (predecessor, own contract.Epoch, ok bool)
 }
 
 // request is a validated call.
--- a/request/cell_test.go
+++ b/request/cell_test.go
@@ -36,7 +36,8 @@
 	hosts   []platform.Host
 	state   *config.State
 	watch   map[string]func(contract.Change)
-	paused  map[string]bool // daemons without tenure
+	paused  map[string]bool                 // daemons without tenure
+	from    map[contract.Key]contract.Epoch // epoch that released the shard to its owner
 	daemons map[string]*daemon
 	execs   map[string]*standin.Executor
 	topo    *zone.Topology
@@ -68,7 +69,7 @@
 		t.Fatal(err)
 	}
 	return &cell{t: t, owners: map[contract.Key]owned{}, grants: map[contract.Key][]granted{},
-		members: map[string]link.Member{}, watch: map[string]func(contract.Change){}, paused: map[string]bool{},
+		members: map[string]link.Member{}, watch: map[string]func(contract.Change){}, paused: map[string]bool{}, from: map[contract.Key]contract.Epoch{},
 		daemons: map[string]*daemon{}, execs: map[string]*standin.Executor{}, topo: topo,
 		state: &config.State{Customers: map[string]config.Customer{"acme": {Home: "west"}, "beta": {Home: "west"}, "east": {Home: "east"}}}}
 }
@@ -136,6 +137,7 @@
 	defer c.mu.Unlock()
 	for _, k := range keys {
 		c.epoch++
+		delete(c.from, k)
 		o := owned{id, c.epoch}
 		c.owners[k] = o
 		if k.Kind() == contract.IDs {
@@ -297,6 +299,13 @@
 	return h
 }
 
+func (d *daemon) Predecessor(k contract.Key) (predecessor, own contract.Epoch, ok bool) {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	o := d.c.owners[k]
+	return d.c.from[k], o.epoch, o.daemon == d.id && d.c.from[k] != 0
+}
+
 // ready waits until daemon d has usable slots in every group that it knows.
 func (c *cell) ready(slots int, ds ...*daemon) {
 	c.t.Helper()
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -170,27 +170,51 @@
 	var epoch contract.Epoch
 	if keep {
 		key = contract.IDsKey(home, Shard(r.id, s.cfg.Shards))
-		daemon, epoch = s.recorderOf(key, int64(r.id.Time()))
+		return s.askOwner(ctx, r, key)
 	} else {
 		r.id, key, daemon, epoch = s.mint(home)
 	}
-	if daemon == "" {
-		return failed(errkind.New(errkind.NotReady, "no_recorder", "no recorder for region %s", home))
-	}
-	if daemon == s.self {
+	return s.ask(ctx, r, key, daemon, epoch)
+}
+
+func (s *Service) ask(ctx context.Context, r *request, key contract.Key, daemon string, epoch contract.Epoch) reply {
+	switch daemon {
+	case "":
+		return failed(errkind.New(errkind.NotReady, "no_recorder", "no recorder for %s", key))
+	case s.self:
 		return s.recorder.run(ctx, key, r)
 	}
 	return s.call(ctx, daemon, key, epoch, r, openRecord)
 }
 
-// recorderOf returns the daemon that mint time ms was granted to, or else the
-// owner of the shard, which knows what is certain about other times.
-func (s *Service) recorderOf(key contract.Key, ms int64) (string, contract.Epoch) {
-	if e, d, ok := s.cfg.Grants.Granted(key, ms); ok && !s.loads.isDown(d) {
-		return d, e
+// askOwner asks the owner of the shard, to which the memory of earlier recorders
+// may have been handed over. If it does not have it, the recorder that the mint
+// time was granted to may still be there and remember the id.
+func (s *Service) askOwner(ctx context.Context, r *request, key contract.Key) reply {
+	owner, epoch, _ := s.cfg.Ownership.Owner(key)
+	granted, e, ok := s.recorderOf(key, int64(r.id.Time()))
+	earlier := ok && granted != owner
+	if owner == "" || s.loads.isDown(owner) {
+		if earlier {
+			return s.ask(ctx, r, key, granted, e)
+		}
 	}
-	d, e, _ := s.cfg.Ownership.Owner(key)
-	return d, e
+	rep := s.ask(ctx, r, key, owner, epoch)
+	if !earlier || errkind.ReasonOf(rep.err) != "id_of_earlier_recorder" {
+		return rep
+	}
+	was := s.ask(ctx, r, key, granted, e)
+	switch errkind.Of(was.err) {
+	case errkind.NotOwner, errkind.Draining, errkind.Unreachable:
+		return rep // it has closed its range or cannot be asked
+	}
+	return was
+}
+
+// recorderOf returns the daemon that mint time ms was granted to, if it is not down.
+func (s *Service) recorderOf(key contract.Key, ms int64) (string, contract.Epoch, bool) {
+	e, d, ok := s.cfg.Grants.Granted(key, ms)
+	return d, e, ok && !s.loads.isDown(d)
 }
 
 // mint returns a new id of a shard of the region that is being served. Its mint
--- a/request/recorder.go
+++ b/request/recorder.go
@@ -31,6 +31,8 @@
 	bodies    list.List // of *record with an answer, oldest first
 	bodyBytes int64
 	homes     map[string]home
+	closed    map[contract.Key]closure
+	inherited map[contract.Key]inheritance
 }
 
 // record is what a recorder remembers about one id.
@@ -42,6 +44,7 @@
 	// again. A copy of the call that was sent before the refusal and arrives late
 	// must not run after the caller was told "not run".
 	refused time.Time
+	remote  bool // handed over while it ran at the predecessor; the result may follow
 }
 
 // home is the region of a customer's recorders.
@@ -51,7 +54,8 @@
 }
 
 func newRecorder(s *Service) *recorder {
-	return &recorder{s: s, buckets: make(map[int64]map[ulid.ULID]*record), homes: make(map[string]home)}
+	return &recorder{s: s, buckets: make(map[int64]map[ulid.ULID]*record), homes: make(map[string]home),
+		closed: make(map[contract.Key]closure), inherited: make(map[contract.Key]inheritance)}
 }
 
 // run runs r, or waits for the run of the same id and returns its answer.
@@ -98,7 +102,14 @@
 		if rec.content != content {
 			return nil, false, failed(errkind.New(errkind.Conflict, "id_reused", "id %s was used for another request", r.id))
 		}
-		if rec.refused.IsZero() || now.Before(rec.refused) {
+		if rec.refused.IsZero() {
+			return rec, false, reply{}
+		}
+		// Another recorder may have run the id since it was refused here.
+		if _, _, _, ok := c.s.cfg.Grants.Range(key); !ok {
+			return nil, false, failed(errkind.New(errkind.NotOwner, "not_recorder", "%s", key))
+		}
+		if now.Before(rec.refused) {
 			return rec, false, reply{}
 		}
 		rep, beyond := c.granted(key, r, now)
@@ -144,9 +155,11 @@
 	switch {
 	case !ok:
 		return failed(errkind.New(errkind.NotOwner, "not_recorder", "%s", key)), false
+	case c.closed[key].covers(epoch, ms):
+		return failed(errkind.New(errkind.NotOwner, "range_closed", "mint time %d", ms)), false
 	case ms < c.evicted || now.UnixMilli()-ms > c.s.cfg.Memory.Milliseconds():
 		return failed(errkind.New(errkind.OutcomeUnknown, "id_too_old", "mint time %d", ms)), false
-	case ms < from:
+	case ms < from && !c.inherits(key, epoch, ms):
 		return failed(errkind.New(errkind.OutcomeUnknown, "id_of_earlier_recorder", "mint time %d before %d", ms, from)), false
 	case ms >= to:
 		// Only an owner in good tenure knows that nobody else was granted this time.
