Send callers in the rolling replacement only to daemons that are ready

Cause: targets() named a new daemon before it listened, so that a caller got 'connection refused', which counts as unknown. A balancer uses /readyz, as TestKilledOwners already does. The check itself is unchanged.

--- a/internal/cluster/faults_test.go
+++ b/internal/cluster/faults_test.go
@@ -119,13 +119,17 @@
 func TestRollingReplacement(t *testing.T) {
 	x := startCell(t, fiveDaemons...)
 	for n, old := range append([]*Node(nil), x.Daemons...) {
-		fresh, err := x.AddDaemon(x.ctx, fmt.Sprintf("entry-new-%d", n+1), old.Zone)
+		// A balancer sends callers to a daemon only once /readyz is 200.
+		id := fmt.Sprintf("entry-new-%d", n+1)
+		x.balance(&Node{ID: id}, false)
+		fresh, err := x.AddDaemon(x.ctx, id, old.Zone)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if err := x.Ready(x.ctx, fresh); err != nil {
 			t.Fatal(err)
 		}
+		x.balance(fresh, true)
 		x.wave(n)
 		if err := x.SetDaemonState(x.ctx, old, platform.Leaving); err != nil {
 			t.Fatal(err)
