Test handovers that fail, repeat or name two daemons

Each test was seen to fail without its mechanism: the closed range, the whole message, the successor named by the log, results of running calls. A repeated message is harmless twice over (accept and take); the test fails only without both.

--- a/request/handover_test.go
+++ b/request/handover_test.go
@@ -144,7 +144,9 @@
 		if err := stream.Send(part); err != nil {
 			t.Fatal(err)
 		}
-		_ = stream.Close()
+		if _, err := stream.CloseAndRecv(); err == nil {
+			t.Error("a handover without its last part was accepted")
+		}
 		c.release(r)
 	}
 	d2.stop()
@@ -161,9 +163,16 @@
 func TestRepeatedAndLateHandover(t *testing.T) {
 	c, d1, d2 := twoRecorders(t, standin.ExecutorConfig{Slots: 8})
 	id, other := ulid.Make(), ulid.Make()
+	for Shard(other, 4) != Shard(id, 4) {
+		other = ulid.Make()
+	}
 	k := contract.IDsKey("west", Shard(id, 4))
 	r := c.stopServing(k, "d1")
 	m := d2.svc.recorder.close(r)
+	refused := &request{id: id, customer: "acme", class: Quote, body: []byte("x")}
+	content := refused.content()
+	m.ids = append(m.ids, &rpc.RecordedID{Id: id.Bytes(), Content: content[:],
+		Failure: &rpc.RequestFailure{Kind: string(errkind.Overloaded), Reason: "queue_full", Fresh: true}})
 	send := func() {
 		if err := d2.svc.sendMemory(t.Context(), "d1", m, false); err != nil {
 			t.Logf("message refused: %v", err)
@@ -171,7 +180,10 @@
 	}
 	send()
 	c.release(r)
-	answered(t, d1, id.String())
+	eventually(t, "the refusal has expired", func() bool {
+		a, err := do(d1, Quote, id.String(), "x", 10*time.Second)
+		return err == nil && string(a.Body) == "x"
+	})
 	send()
 	answered(t, d1, id.String())
 	c.ran(1, id.String())
@@ -179,11 +191,36 @@
 	c.own("d2", k)
 	send()
 	for _, d := range []*daemon{d1, d2} {
-		if rep := d.svc.recorder.run(t.Context(), contract.IDsKey("west", Shard(other, 4)), &request{id: other, customer: "acme",
-			class: Quote, body: []byte("x"), deadline: time.Now().Add(time.Second)}); Shard(other, 4) == Shard(id, 4) && rep.err == nil {
-			t.Errorf("%s ran an id of an earlier recorder", d.id)
+		rep := d.svc.recorder.run(t.Context(), k, &request{id: other, customer: "acme", class: Quote, body: []byte("x"),
+			deadline: time.Now().Add(time.Second)})
+		if rep.err == nil || rep.fresh {
+			t.Errorf("%s ran an id that was passed on, or called it not run: %v", d.id, rep.err)
 		}
 	}
+	c.ran(0, other.String())
+	c.ran(1, id.String())
+}
+
+// Guards against a daemon that got the memory for a release that failed, and uses
+// it after another daemon was the successor and ran ids.
+func TestMemoryOfFailedReleaseIsNotUsed(t *testing.T) {
+	c, d1, d2 := twoRecorders(t, standin.ExecutorConfig{Slots: 8})
+	d3 := c.daemon("d3", "w2", func(cfg *Config) { cfg.OwnerWait = 500 * time.Millisecond })
+	c.ready(16, d3)
+	id := ulid.Make()
+	k := contract.IDsKey("west", Shard(id, 4))
+	r := c.stopServing(k, "d1")
+	d2.svc.HandOver(t.Context(), []contract.Release{r}) // its append fails
+	r.To = "d3"
+	d2.svc.HandOver(t.Context(), []contract.Release{r})
+	c.release(r)
+	answered(t, d3, id.String())
+	c.setMember("d3", link.Dead)
+	d3.stop()
+	<-d3.done
+	c.own("d1", k)
+	eventually(t, "d1 knows that d3 is dead", func() bool { return d1.svc.loads.isDown("d3") })
+	unknown(t, d1, id.String())
 	c.ran(1, id.String())
 }
 
