--- a/contract/grants_cell_test.go
+++ b/contract/grants_cell_test.go
@@ -1,6 +1,7 @@
 package contract_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -100,6 +101,43 @@
 	}
 }
 
+// Guards against a release that is in the log before the recorder has closed its
+// range, and against a successor that cannot tell whose release named it.
+func TestReleaseIsAnnouncedFirst(t *testing.T) {
+	c := newCell(t, standin.LogConfig{})
+	a, b := c.start("a", "lom-bergamo", 1), c.start("b", "lom-monza", 1)
+	c.settled(a, b)
+	eventually(t, "every shard is granted", func() bool { return len(ranges(a))+len(ranges(b)) == 4 })
+	old := ranges(b)
+	announced := make(map[contract.Key]contract.Release)
+	b.grants.OnRelease(func(_ context.Context, rs []contract.Release) {
+		for _, r := range rs {
+			if owner, e, _ := a.claimer.Owner(r.Shard); owner != "b" || e != r.Epoch {
+				t.Errorf("%s is released by its owner %q at epoch %d before the announcement", r.Shard, owner, e)
+			}
+			if _, _, _, ok := b.grants.Range(r.Shard); ok {
+				t.Errorf("%s may still be run while its release is announced", r.Shard)
+			}
+			announced[r.Shard] = r
+		}
+	})
+	if err := b.claimer.Drain(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if len(old) == 0 || len(announced) != len(old) {
+		t.Fatalf("%d of %d releases announced", len(announced), len(old))
+	}
+	for k, r := range old {
+		if n := announced[k]; n.To != "a" || n.FromMS != r[0] || n.CutMS < r[1] {
+			t.Errorf("%s: announced %+v, ran ids of [%d, %d)", k, n, r[0], r[1])
+		}
+		eventually(t, "a follows b for "+string(k), func() bool {
+			predecessor, own, ok := a.grants.Predecessor(k)
+			return ok && predecessor == announced[k].Epoch && own > predecessor
+		})
+	}
+}
+
 // Guards against an id of the future or from before the first grant that is taken
 // for one that a recorder holds, and against a recorder that runs far into the future.
 func TestMintTimesOutsideGrants(t *testing.T) {
--- a/internal/cluster/cell_test.go
+++ b/internal/cluster/cell_test.go
@@ -241,14 +241,19 @@
 		x.t.Error(b)
 	}
 	answered, unknown := 0, 0
+	reasons := make(map[string]int) // of unknown outcomes, by class
 	for _, a := range attempts {
 		if a.Answer {
 			answered++
 		} else if a.Outcome == "unknown" {
 			unknown++
+			reasons[a.Class+" "+a.Reason]++
 		}
 	}
 	x.t.Logf("%d calls, %d answered, %d with unknown outcome; %d task runs", len(attempts), answered, unknown, len(workers))
+	if unknown > 0 {
+		x.t.Logf("unknown outcomes by class and reason: %v", reasons)
+	}
 	if answered == 0 {
 		x.t.Error("no call was answered")
 	}
