Answer at once for ids that a claimant can never run

Cause: a recorder that claimed its shard has no range until the grant of the earlier one ends, and said not_recorder meanwhile, for which entries now wait. The wait was in vain. Such ids are outcome_unknown at once.

--- a/request/handover_test.go
+++ b/request/handover_test.go
@@ -268,3 +268,20 @@
 	}
 	c.ran(1, id)
 }
+
+// Guards against callers that wait in vain for a recorder which claimed the shard
+// and has no range of its own before the grant of the earlier one ends.
+func TestClaimantWithoutRangeAnswersAtOnce(t *testing.T) {
+	c, d1, _ := twoRecorders(t, standin.ExecutorConfig{Slots: 8})
+	id := ulid.Make()
+	k := contract.IDsKey("west", Shard(id, 4))
+	c.mu.Lock()
+	c.epoch++
+	c.owners[k] = owned{"d1", c.epoch}
+	c.mu.Unlock()
+	r := &request{id: id, customer: "acme", class: Quote, body: []byte("x"), deadline: time.Now().Add(time.Second)}
+	if rep := d1.svc.recorder.run(t.Context(), k, r); errkind.Of(rep.err) != errkind.OutcomeUnknown {
+		t.Errorf("%v, want an unknown outcome instead of a refusal that is repeated", rep.err)
+	}
+	c.ran(0, id.String())
+}
--- a/request/recorder.go
+++ b/request/recorder.go
@@ -153,6 +153,8 @@
 	ms := int64(r.id.Time())
 	from, to, epoch, ok := c.s.cfg.Grants.Range(key)
 	switch {
+	case !ok && c.claimedAfter(key, ms):
+		return failed(errkind.New(errkind.OutcomeUnknown, "id_of_earlier_recorder", "mint time %d, no own range yet", ms)), false
 	case !ok:
 		return failed(errkind.New(errkind.NotOwner, "not_recorder", "%s", key)), false
 	case c.closed[key].covers(epoch, ms):
@@ -182,6 +184,16 @@
 	return reply{}, false
 }
 
+// claimedAfter reports whether this daemon claimed the shard, without a handover,
+// while the mint time ms is granted to an earlier recorder. Its own range then
+// starts later, so that waiting does not help the caller.
+func (c *recorder) claimedAfter(key contract.Key, ms int64) bool {
+	owner, _, _ := c.s.cfg.Ownership.Owner(key)
+	_, earlier, granted := c.s.cfg.Grants.Granted(key, ms)
+	_, _, released := c.s.cfg.Grants.Predecessor(key)
+	return owner == c.s.self && granted && earlier != c.s.self && !released
+}
+
 // finish keeps the result of the run of an id.
 func (c *recorder) finish(rec *record, rep reply) {
 	c.mu.Lock()
