--- a/internal/cluster/cell_test.go
+++ b/internal/cluster/cell_test.go
@@ -153,7 +153,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var out []string
-	for _, n := range x.Daemons {
+	for _, n := range x.Nodes() {
 		if !x.out[n.ID] {
 			out = append(out, n.URL())
 		}
@@ -250,7 +250,7 @@
 		if a.Outcome == "unknown" {
 			unknown++
 		}
-		reasons[string(a.Outcome)+"/"+a.Reason]++
+		reasons[a.Class+" "+string(a.Outcome)+"/"+a.Reason]++
 	}
 	x.t.Logf("%d calls, %d answered, %d with unknown outcome %v; %d task runs", len(attempts), answered, unknown, reasons, len(workers))
 	if answered == 0 {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -68,6 +69,7 @@
 	Log       *Node
 	lists     map[zone.Region]*Node // host list as a region sees it
 	links     *links
+	mu        sync.Mutex // guards the growth of Daemons
 	Daemons   []*Node
 	Workers   []*Node
 	Executors []*Node
@@ -194,13 +196,22 @@
 	if err := c.writeSettings(n); err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
 	c.Daemons = append(c.Daemons, n)
+	c.mu.Unlock()
 	if err := c.StartDaemon(ctx, n); err != nil {
 		return nil, err
 	}
 	return n, nil
 }
 
+// Nodes returns the daemons, also while others are added.
+func (c *Cluster) Nodes() []*Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Node(nil), c.Daemons...)
+}
+
 // StartDaemon starts the process of a daemon that does not run and lists it as live.
 func (c *Cluster) StartDaemon(ctx context.Context, n *Node) error {
 	var err error
@@ -271,5 +282,13 @@
 		return "", errors.Wrap(err, "find a free port")
 	}
 	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	address := l.Addr().String()
+	if _, taken := given.LoadOrStore(address, true); taken {
+		return freeAddress()
+	}
+	return address, nil
 }
+
+// given holds the addresses that freeAddress has returned: the system may offer a
+// port again before the process that is to use it has started.
+var given sync.Map
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -103,7 +103,8 @@
 func (s *Service) viaRecorder(ctx context.Context, r *request, home zone.Region, given bool) reply {
 	s.retries.call()
 	var unknown error
-	for attempt := 1; ; attempt++ {
+	waits, until := 0, time.Now().Add(s.cfg.OwnerWait)
+	for attempt := 1; ; {
 		rep := s.askRecorder(ctx, r, home, given || unknown != nil)
 		if rep.err == nil {
 			return rep
@@ -113,13 +114,44 @@
 		if lost {
 			unknown = rep.err
 		}
-		moved := kind == errkind.Unreachable || kind == errkind.NotOwner || kind == errkind.Draining
-		if !lost && !moved || !s.retry(ctx, r, attempt, errkind.ReasonOf(rep.err)) {
+		reason := errkind.ReasonOf(rep.err)
+		moved := kind == errkind.Unreachable || kind == errkind.NotOwner || kind == errkind.Draining || reason == "no_recorder"
+		switch {
+		case moved && s.awaitOwner(ctx, r, waits, until, reason):
+			waits++
+		case lost && s.retry(ctx, r, attempt, reason):
+			attempt++
+		default:
 			return s.certain(settle(rep, unknown), given)
 		}
 	}
 }
 
+// maxOwnerBackoff is the longest pause between two looks for the owner of a key.
+const maxOwnerBackoff = 100 * time.Millisecond
+
+// awaitOwner pauses after a refusal that says only that the owner has changed. It
+// reports false when the time has passed. The refused call ran nothing, so that
+// neither MaxAttempts nor the retry budget, which protect executors, apply; the
+// pauses bound the calls to about ten per second.
+func (s *Service) awaitOwner(ctx context.Context, r *request, waits int, until time.Time, reason string) bool {
+	limit := min(time.Until(until), time.Until(r.deadline))
+	backoff := min(s.cfg.RetryBase<<min(waits, 10), maxOwnerBackoff)
+	backoff = time.Duration((0.5 + s.rng.float()/2) * float64(backoff))
+	if limit <= backoff || ctx.Err() != nil {
+		return false
+	}
+	s.metrics.retries.WithLabelValues(reason).Inc()
+	t := time.NewTimer(backoff)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // certain replaces "not run" for an id that the caller gave, unless the recorder
 // said it: an earlier call may have run the id.
 func (s *Service) certain(rep reply, given bool) reply {
@@ -138,27 +170,51 @@
 	var epoch contract.Epoch
 	if keep {
 		key = contract.IDsKey(home, Shard(r.id, s.cfg.Shards))
-		daemon, epoch = s.recorderOf(key, int64(r.id.Time()))
+		return s.askOwner(ctx, r, key)
 	} else {
 		r.id, key, daemon, epoch = s.mint(home)
 	}
-	if daemon == "" {
-		return failed(errkind.New(errkind.NotReady, "no_recorder", "no recorder for region %s", home))
-	}
-	if daemon == s.self {
+	return s.ask(ctx, r, key, daemon, epoch)
+}
+
+func (s *Service) ask(ctx context.Context, r *request, key contract.Key, daemon string, epoch contract.Epoch) reply {
+	switch daemon {
+	case "":
+		return failed(errkind.New(errkind.NotReady, "no_recorder", "no recorder for %s", key))
+	case s.self:
 		return s.recorder.run(ctx, key, r)
 	}
 	return s.call(ctx, daemon, key, epoch, r, openRecord)
 }
 
-// recorderOf returns the daemon that mint time ms was granted to, or else the
-// owner of the shard, which knows what is certain about other times.
-func (s *Service) recorderOf(key contract.Key, ms int64) (string, contract.Epoch) {
-	if e, d, ok := s.cfg.Grants.Granted(key, ms); ok && !s.loads.isDown(d) {
-		return d, e
+// askOwner asks the owner of the shard, to which the memory of earlier recorders
+// may have been handed over. If it does not have it, the recorder that the mint
+// time was granted to may still be there and remember the id.
+func (s *Service) askOwner(ctx context.Context, r *request, key contract.Key) reply {
+	owner, epoch, _ := s.cfg.Ownership.Owner(key)
+	granted, e, ok := s.recorderOf(key, int64(r.id.Time()))
+	earlier := ok && granted != owner
+	if owner == "" || s.loads.isDown(owner) {
+		if earlier {
+			return s.ask(ctx, r, key, granted, e)
+		}
+	}
+	rep := s.ask(ctx, r, key, owner, epoch)
+	if !earlier || errkind.ReasonOf(rep.err) != "id_of_earlier_recorder" {
+		return rep
+	}
+	was := s.ask(ctx, r, key, granted, e)
+	switch errkind.Of(was.err) {
+	case errkind.NotOwner, errkind.Draining, errkind.Unreachable:
+		return rep // it has closed its range or cannot be asked
 	}
-	d, e, _ := s.cfg.Ownership.Owner(key)
-	return d, e
+	return was
+}
+
+// recorderOf returns the daemon that mint time ms was granted to, if it is not down.
+func (s *Service) recorderOf(key contract.Key, ms int64) (string, contract.Epoch, bool) {
+	e, d, ok := s.cfg.Grants.Granted(key, ms)
+	return d, e, ok && !s.loads.isDown(d)
 }
 
 // mint returns a new id of a shard of the region that is being served. Its mint
