Replace queue_per_group by queue_per_slot and pass it on

Cause: the daemon never passed requests.queue_per_group to the request path, whose bound counts waiting calls per slot of a group. Ruled out: keeping the name and dividing by the slots; the slots of a group change while the daemon runs. Conclusion: operators can bound the queue of executor groups.

--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -270,15 +270,26 @@
 
 func provideRequests(i do.Injector) (*request.Service, error) {
 	set := do.MustInvoke[*settings.Settings](i)
-	r := &set.Requests
-	return request.New(request.Config{
-		Peers: do.MustInvoke[*link.Members](i), Ownership: do.MustInvoke[*contract.Claimer](i),
-		Grants: do.MustInvoke[*contract.Grants](i), View: do.MustInvoke[*config.Store](i),
-		Hosts:    &drainedHosts{from: do.MustInvoke[platform.HostList](i), view: do.MustInvoke[*config.Store](i)},
-		Topology: do.MustInvoke[*zone.Topology](i), Log: do.MustInvoke[zerolog.Logger](i),
-		Metrics: do.MustInvoke[*prometheus.Registry](i), Shards: set.IDShards,
-		DefaultDeadline: r.DefaultDeadline.Std(), MaxBodyBytes: int(r.MaxBodyBytes), MaxAnswerBytes: int(r.MaxAnswerBytes),
-		CrossRegionWait: r.CrossRegionWait.Std(), HostsInterval: set.Platform.HostsEvery.Std(),
-		ProbeInterval: r.ProbeEvery.Std(), SilentAfter: r.SilentAfter.Std(), RetryShare: r.RetryBudget,
-	})
+	cfg := requestLimits(&set.Requests)
+	cfg.Peers, cfg.Ownership = do.MustInvoke[*link.Members](i), do.MustInvoke[*contract.Claimer](i)
+	cfg.Grants, cfg.View = do.MustInvoke[*contract.Grants](i), do.MustInvoke[*config.Store](i)
+	cfg.Hosts = &drainedHosts{from: do.MustInvoke[platform.HostList](i), view: do.MustInvoke[*config.Store](i)}
+	cfg.Topology, cfg.Log = do.MustInvoke[*zone.Topology](i), do.MustInvoke[zerolog.Logger](i)
+	cfg.Metrics, cfg.Shards = do.MustInvoke[*prometheus.Registry](i), set.IDShards
+	cfg.HostsInterval = set.Platform.HostsEvery.Std()
+	return request.New(cfg)
+}
+
+// requestLimits returns the part of the configuration of requests that comes from their settings alone.
+func requestLimits(r *settings.Requests) request.Config {
+	return request.Config{
+		DefaultDeadline: r.DefaultDeadline.Std(),
+		MaxBodyBytes:    int(r.MaxBodyBytes),
+		MaxAnswerBytes:  int(r.MaxAnswerBytes),
+		QueuePerSlot:    r.QueuePerSlot,
+		CrossRegionWait: r.CrossRegionWait.Std(),
+		ProbeInterval:   r.ProbeEvery.Std(),
+		SilentAfter:     r.SilentAfter.Std(),
+		RetryShare:      r.RetryBudget,
+	}
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -132,7 +132,7 @@
 	c.between("requests.default_deadline", r.DefaultDeadline, 10*time.Millisecond, time.Hour)
 	c.number("requests.max_body_bytes", float64(r.MaxBodyBytes), 1, 64<<20)
 	c.number("requests.max_answer_bytes", float64(r.MaxAnswerBytes), 1, 64<<20)
-	c.number("requests.queue_per_group", float64(r.QueuePerGroup), 1, 1e6)
+	c.number("requests.queue_per_slot", float64(r.QueuePerSlot), 1, 1000)
 	c.between("requests.cross_region_wait", r.CrossRegionWait, 0, time.Minute)
 	c.between("requests.probe_every", r.ProbeEvery, 10*time.Millisecond, time.Minute)
 	if r.SilentAfter < 2*r.ProbeEvery {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,7 +61,7 @@
 	DefaultDeadline Duration `json:"default_deadline"`
 	MaxBodyBytes    int64    `json:"max_body_bytes"`
 	MaxAnswerBytes  int64    `json:"max_answer_bytes"`
-	QueuePerGroup   int      `json:"queue_per_group"`
+	QueuePerSlot    int      `json:"queue_per_slot"` // waiting calls per slot of a group
 	CrossRegionWait Duration `json:"cross_region_wait"`
 	ProbeEvery      Duration `json:"probe_every"`
 	SilentAfter     Duration `json:"silent_after"`
@@ -97,7 +97,7 @@
 			DefaultDeadline: Duration(10 * time.Second),
 			MaxBodyBytes:    1 << 20,
 			MaxAnswerBytes:  8 << 20,
-			QueuePerGroup:   1024,
+			QueuePerSlot:    8,
 			CrossRegionWait: Duration(50 * time.Millisecond),
 			ProbeEvery:      Duration(time.Second),
 			SilentAfter:     Duration(3 * time.Second),
