Make the bounds of settings agree with what the packages do

Cause: the check accepted 0 for five fields whose packages replace 0 by their default, a default_deadline of up to 1 h that the request path cuts to 5 min, and every level name of zerolog. Ruled out: making zero work for clock_drift and stability; no drift is unsafe for leases, and without a stability time keys move with every flap. Ruled out: changing the packages, whose documented zero values are defaults for embedders. After: clock_drift is 0.0001 to 0.2, stability 100ms to 5m (its doubling ends at 5 min), default_deadline 10ms to 5m, and log_level one of five. learned_margin, cross_region_wait and retry_budget of 0 mean none: the daemon passes the smallest value on, and turns the burst of retries off with the budget.

--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -239,9 +240,17 @@
 	})
 }
 
+// nonZero replaces 0, which the packages take for their default, by a value that is too small to have an effect.
+func nonZero(f float64) float64 {
+	if f == 0 {
+		return math.SmallestNonzeroFloat64
+	}
+	return f
+}
+
 // newEngine returns the placement policy of one job shard.
 func newEngine(set *settings.Settings) func() job.Engine {
-	return func() job.Engine { return placement.New(placement.Config{SizeMargin: set.Tasks.Margin}) }
+	return func() job.Engine { return placement.New(placement.Config{SizeMargin: nonZero(set.Tasks.Margin)}) }
 }
 
 func provideRack(i do.Injector) (*job.Rack, error) {
@@ -282,14 +291,18 @@
 
 // requestLimits returns the part of the configuration of requests that comes from their settings alone.
 func requestLimits(r *settings.Requests) request.Config {
-	return request.Config{
+	cfg := request.Config{
 		DefaultDeadline: r.DefaultDeadline.Std(),
 		MaxBodyBytes:    int(r.MaxBodyBytes),
 		MaxAnswerBytes:  int(r.MaxAnswerBytes),
 		QueuePerSlot:    r.QueuePerSlot,
-		CrossRegionWait: r.CrossRegionWait.Std(),
+		CrossRegionWait: max(r.CrossRegionWait.Std(), time.Nanosecond), // 0 would be the default
 		ProbeInterval:   r.ProbeEvery.Std(),
 		SilentAfter:     r.SilentAfter.Std(),
-		RetryShare:      r.RetryBudget,
+		RetryShare:      nonZero(r.RetryBudget),
+	}
+	if r.RetryBudget == 0 {
+		cfg.RetryBurst = nonZero(0) // the default allows 20 retries before the share counts
 	}
+	return cfg
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -4,18 +4,23 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // maxShards bounds the shards per region. More shards than daemons several times over only add claims.
 const maxShards = 256
 
+// maxDeadline is the deadline to which the request path cuts longer ones (request.Config.MaxDeadline).
+const maxDeadline = 5 * time.Minute
+
+// logLevels are the levels of zerolog except those that hide errors.
+var logLevels = []string{"trace", "debug", "info", "warn", "error"}
+
 // checker collects faults of settings that decoded well.
 type checker struct {
 	lines  map[string]int
@@ -82,8 +87,8 @@
 	c.number("platform.snapshot_each", float64(s.Platform.SnapshotEach), 10, 1e6)
 	c.between("drain_notice", s.DrainNotice, 0, time.Minute)
 	c.between("drain_limit", s.DrainLimit, time.Second, time.Hour)
-	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil || s.LogLevel == "" {
-		c.fail("log_level", "must be trace, debug, info, warn or error, got %q", s.LogLevel)
+	if !slices.Contains(logLevels, s.LogLevel) {
+		c.fail("log_level", "must be one of %s, got %q", strings.Join(logLevels, ", "), s.LogLevel)
 	}
 	return c.faults
 }
@@ -109,7 +114,7 @@
 	o := &s.Ownership
 	c.between("ownership.tenure", o.Tenure, 10*time.Millisecond, time.Minute)
 	c.between("ownership.takeover_wait", o.TakeoverWait, 10*time.Millisecond, 2*time.Minute)
-	c.number("ownership.clock_drift", o.ClockDrift, 0, 0.2)
+	c.number("ownership.clock_drift", o.ClockDrift, 0.0001, 0.2)
 	if o.TakeoverWait.Std() <= scale(o.Tenure.Std(), 1+o.ClockDrift) {
 		c.fail("ownership.takeover_wait", "must be longer than tenure (%s) x (1 + clock_drift), or two daemons could act for one machine", o.Tenure.Std())
 	}
@@ -117,7 +122,7 @@
 	if o.SuspectAfter < 2*o.Heartbeat {
 		c.fail("ownership.suspect_after", "must be at least two heartbeats (%s), or one late heartbeat raises suspicion", 2*o.Heartbeat.Std())
 	}
-	c.between("ownership.stability", o.Stability, 0, 10*time.Minute)
+	c.between("ownership.stability", o.Stability, 100*time.Millisecond, 5*time.Minute)
 	c.between("ownership.id_grant", o.IDGrant, time.Second, time.Hour)
 	c.between("tasks.lease", s.Tasks.Lease, 100*time.Millisecond, time.Hour)
 	c.number("tasks.learned_margin", s.Tasks.Margin, 0, 5)
@@ -129,7 +134,7 @@
 
 func (c *checker) requests(s *Settings) {
 	r := &s.Requests
-	c.between("requests.default_deadline", r.DefaultDeadline, 10*time.Millisecond, time.Hour)
+	c.between("requests.default_deadline", r.DefaultDeadline, 10*time.Millisecond, maxDeadline)
 	c.number("requests.max_body_bytes", float64(r.MaxBodyBytes), 1, 64<<20)
 	c.number("requests.max_answer_bytes", float64(r.MaxAnswerBytes), 1, 64<<20)
 	c.number("requests.queue_per_slot", float64(r.QueuePerSlot), 1, 1000)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -48,6 +48,10 @@
 		{"wrong type", `"daemon_id": "entry-1"`, `"daemon_id": 7`, []string{"line 3", "daemon_id", "want string"}},
 		{"repeated field", `"zone": "lom-bergamo",`, `"zone": "lom-bergamo", "zone": "lom-monza",`, []string{"line 4", "zone", "twice"}},
 		{"broken syntax", `"daemon_id": "entry-1",`, `"daemon_id" "entry-1",`, []string{"line 3", "not valid JSON"}},
+		{"level that hides errors", `"zone": "lom-bergamo"`, `"log_level": "disabled", "zone": "lom-bergamo"`, []string{"line 4", "log_level", "error, got"}},
+		{"deadline that is cut", `"zone": "lom-bergamo"`, `"requests": {"default_deadline": "6m"}, "zone": "lom-bergamo"`, []string{"line 4", "requests.default_deadline", "to 5m"}},
+		{"no drift", `"tenure": "1s"`, `"clock_drift": 0, "tenure": "1s"`, []string{"line 9", "ownership.clock_drift", "0.0001 to"}},
+		{"no stability", `"tenure": "1s"`, `"stability": "0s", "tenure": "1s"`, []string{"line 9", "ownership.stability", "100ms to"}},
 		{"bad URL", `http://127.0.0.1:7000`, `127.0.0.1:7000`, []string{"line 5", "log_url", "http"}},
 	}
 	for _, c := range cases {
