Report keys of dead owners and regions without a daemon in doctor

Cause: keyProblems took a key for served as soon as the fold named an owner, whatever the membership says of it, and nothing compared the regions of the settings with the members. Ruled out: treating a suspected owner as dead; suspicion ends by itself when one connection was silent.

--- a/daemon/health.go
+++ b/daemon/health.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/samber/do/v2"
@@ -11,6 +13,7 @@
 	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/link"
+	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // Problem is something that a daemon cannot do, and why.
@@ -54,29 +57,64 @@
 	if in.Stalled != nil {
 		out = append(out, Problem{"configuration_stalled", "follow new changes", in.Stalled.Error()})
 	}
-	for _, m := range do.MustInvoke[*link.Members](d.injector).Members() {
+	members := do.MustInvoke[*link.Members](d.injector).Members()
+	out = append(out, memberProblems(members)...)
+	out = append(out, regionProblems(d.set.Regions, members)...)
+	keys, err := d.keys(ctx)
+	if err != nil {
+		return append(out, Problem{"host_list_unreadable", "see hosts come and go", err.Error()})
+	}
+	return append(out, keyProblems(d.set.DaemonID, keys, members)...)
+}
+
+// memberProblems reports the daemons that this one does not hear.
+func memberProblems(members []link.Member) []Problem {
+	var out []Problem
+	for _, m := range members {
 		if m.State == link.Suspected || m.State == link.Dead {
 			out = append(out, Problem{"daemon_" + string(m.State), "reach daemon " + m.ID, "no heartbeat from " + m.Address})
 		}
 	}
-	keys, err := d.keys(ctx)
-	if err != nil {
-		return append(out, Problem{"host_list_unreadable", "see hosts come and go", err.Error()})
+	return out
+}
+
+// regionProblems reports the regions of which no daemon is a member that may serve. A
+// suspected daemon may, since its silence can be that of one connection.
+func regionProblems(regions map[zone.Region][]zone.Name, members []link.Member) []Problem {
+	served := make(map[zone.Region]bool)
+	for _, m := range members {
+		if m.State == link.Alive || m.State == link.Suspected {
+			served[m.Region] = true
+		}
+	}
+	var out []Problem
+	for _, r := range slices.Sorted(maps.Keys(regions)) {
+		if !served[r] {
+			out = append(out, Problem{"region_without_daemon", "use workers and executors of region " + string(r), "no daemon of the region is alive"})
+		}
 	}
-	return append(out, d.keyProblems(keys)...)
+	return out
 }
 
-// keyProblems reports keys without an owner that may act, grouped by kind.
-func (d *Daemon) keyProblems(keys []KeyOwner) []Problem {
+// keyProblems reports the keys without an owner that may act, grouped by kind, as daemon self sees them.
+func keyProblems(self string, keys []KeyOwner, members []link.Member) []Problem {
+	states := make(map[string]link.State, len(members))
+	for _, m := range members {
+		states[m.ID] = m.State
+	}
 	free := make(map[contract.KeyKind][]string)
+	dead := make(map[contract.KeyKind][]string)
 	idle := make(map[contract.KeyKind][]string)
 	for _, k := range keys {
 		kind := contract.Key(k.Key).Kind()
+		state, known := states[k.Owner]
 		switch {
 		case k.Owner == "":
 			free[kind] = append(free[kind], k.Key)
-		case k.Owner == d.set.DaemonID && !k.Mine:
+		case k.Owner == self && !k.Mine:
 			idle[kind] = append(idle[kind], k.Key)
+		case k.Owner != self && (!known || state == link.Dead || state == link.Left):
+			dead[kind] = append(dead[kind], k.Key+" ("+k.Owner+")")
 		}
 	}
 	use := map[contract.KeyKind]string{
@@ -88,6 +126,9 @@
 		if ks := free[kind]; len(ks) > 0 {
 			out = append(out, Problem{string(kind) + "_without_owner", use[kind], "no daemon owns " + strings.Join(ks, ", ")})
 		}
+		if ks := dead[kind]; len(ks) > 0 {
+			out = append(out, Problem{string(kind) + "_owner_dead", use[kind], "the owner is dead or has left: " + strings.Join(ks, ", ")})
+		}
 		if ks := idle[kind]; len(ks) > 0 {
 			out = append(out, Problem{string(kind) + "_without_tenure", use[kind], "tenure is not confirmed for " + strings.Join(ks, ", ")})
 		}
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -70,7 +70,7 @@
 		t.Error("no problem found in the code; the search is broken")
 	}
 	for _, k := range []contract.KeyKind{contract.Rack, contract.Exec, contract.Jobs, contract.IDs} {
-		names = append(names, string(k)+"_without_owner", string(k)+"_without_tenure")
+		names = append(names, string(k)+"_without_owner", string(k)+"_without_tenure", string(k)+"_owner_dead")
 	}
 	for _, n := range append(names, "daemon_suspected", "daemon_dead") {
 		if !strings.Contains(page, "`"+n+"`") {
