Tell calls that were never sent from those without an answer

Cause: the client counted every failed attempt as sent, a refused connection included, and forgot the attempts of earlier rounds. Ruled out: looking only at the dial error; a context that ends while the connection is opened gives another error although nothing was sent. The trace of net/http tells whether there was a connection. Before: TestSentTellsRefusedConnections fails: "sent true, want false". The comment on RetryFor names the repeats of calls with an unknown outcome. go test -race -count=20 ./client passes. Conclusion: a caller learns truthfully whether to worry about a second run.

--- a/client/client.go
+++ b/client/client.go
@@ -10,8 +10,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,7 +30,9 @@
 	Servers []string
 	// Timeout of one attempt. Default 15 s.
 	Timeout time.Duration
-	// RetryFor is how long calls that certainly did not run are repeated. Default 0, no repeat.
+	// RetryFor is how long calls are repeated that no daemon answered or whose answer
+	// allows a repeat, those with an unknown outcome included. A repeat is the same
+	// request with the same id. Default 0, no repeat.
 	RetryFor time.Duration
 	// Backoff is the pause before the first repeat; it doubles up to 2 s. Default 100 ms.
 	Backoff time.Duration
@@ -80,7 +84,8 @@
 // NoAnswerError tells that no daemon answered.
 type NoAnswerError struct {
 	Tried []string // one line per daemon
-	// Sent tells that at least one daemon may have received the call.
+	// Sent tells that a daemon may have received the call, in this round or an earlier
+	// one. Without it, nothing was sent and the call certainly had no effect.
 	Sent bool
 }
 
@@ -104,12 +109,14 @@
 	Server string // daemon that answered
 }
 
-// Do sends r to the daemons in turn until one answers. It repeats answers that
-// say that nothing ran, within Config.RetryFor. The call must be idempotent.
+// Do sends r to the daemons in turn until one answers. Within Config.RetryFor it
+// repeats r if none answered or the answer allows a repeat. The call must be
+// idempotent.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
 	end := time.Now().Add(c.cfg.RetryFor)
+	sent := false
 	for pause := c.cfg.Backoff; ; pause = min(2*pause, 2*time.Second) {
-		resp, err := c.round(ctx, r)
+		resp, err := c.round(ctx, r, &sent)
 		if err == nil || !retryable(err) || time.Now().Add(pause).After(end) {
 			return resp, err
 		}
@@ -133,28 +140,33 @@
 	return errors.As(err, &none)
 }
 
-// round tries each daemon once, until one answers.
-func (c *Client) round(ctx context.Context, r Request) (*Response, error) {
+// round tries each daemon once, until one answers. It sets sent once a daemon that
+// did not answer may have received r.
+func (c *Client) round(ctx context.Context, r Request, sent *bool) (*Response, error) {
 	none := &NoAnswerError{}
 	for _, server := range c.cfg.Servers {
-		resp, sent, err := c.attempt(ctx, server, r)
+		resp, received, err := c.attempt(ctx, server, r)
 		var refusal *Error
 		if err == nil || errors.As(err, &refusal) {
 			return resp, err
 		}
-		none.Sent = none.Sent || sent
+		*sent = *sent || received
 		none.Tried = append(none.Tried, err.Error())
 		if ctx.Err() != nil {
 			break
 		}
 	}
+	none.Sent = *sent
 	return nil, none
 }
 
-// attempt sends r to one daemon. sent tells that the daemon may have received it.
-func (c *Client) attempt(ctx context.Context, server string, r Request) (resp *Response, sent bool, err error) {
+// attempt sends r to one daemon. received tells that the daemon may have received it,
+// which is so once there is a connection.
+func (c *Client) attempt(ctx context.Context, server string, r Request) (resp *Response, received bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, r.Method, strings.TrimRight(server, "/")+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, false, err
@@ -167,7 +179,7 @@
 	}
 	answer, err := c.cfg.HTTP.Do(req)
 	if err != nil {
-		return nil, true, err
+		return nil, connected.Load(), err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -70,3 +71,74 @@
 		t.Errorf("got %v, want NoAnswerError", err)
 	}
 }
+
+// closedAddress returns the URL of a port that refuses connections.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return "http://" + l.Addr().String()
+}
+
+// hangUp returns the URL of a server that accepts each call and closes the connection without an answer.
+func hangUp(t *testing.T, received *atomic.Int32) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		received.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// Guards against a refused connection that counts as a call that may have been received, and the reverse.
+func TestSentTellsRefusedConnections(t *testing.T) {
+	var received atomic.Int32
+	refused, lost := closedAddress(t), hangUp(t, &received)
+	for _, c := range []struct {
+		servers []string
+		want    bool
+	}{{[]string{refused}, false}, {[]string{lost}, true}, {[]string{lost, refused}, true}} {
+		cl, err := New(Config{Servers: c.servers})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var none *NoAnswerError
+		if err := cl.Call(context.Background(), http.MethodPost, "/", nil, nil); !errors.As(err, &none) {
+			t.Fatalf("got %v, want NoAnswerError", err)
+		}
+		if none.Sent != c.want {
+			t.Errorf("servers %v: sent %v, want %v", c.servers, none.Sent, c.want)
+		}
+	}
+}
+
+// Guards against a lost call of an early round that the error of the last round no longer tells.
+func TestSentCoversAllRounds(t *testing.T) {
+	var received, dials atomic.Int32
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dials.Add(1) > 1 {
+			cancel()
+			return nil, errors.New("refused")
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}}
+	cl, err := New(Config{
+		Servers: []string{hangUp(t, &received)}, RetryFor: time.Hour, Backoff: time.Millisecond, HTTP: &http.Client{Transport: transport},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var none *NoAnswerError
+	if err := cl.Call(ctx, http.MethodPost, "/", nil, nil); !errors.As(err, &none) {
+		t.Fatalf("got %v, want NoAnswerError", err)
+	}
+	if received.Load() != 1 || dials.Load() < 2 || !none.Sent {
+		t.Errorf("received %d, dials %d, sent %v; want 1 call received, a repeat, and sent", received.Load(), dials.Load(), none.Sent)
+	}
+}
--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -99,13 +99,26 @@
 			continue
 		}
 		if err := c.run(ctx); err != nil {
-			fmt.Fprintf(os.Stderr, "sassafrasctl: %s\n", err)
+			fmt.Fprintf(os.Stderr, "sassafrasctl: %s\n", message(err))
 			return exitCode(err)
 		}
 	}
 	return exitOK
 }
 
+// message returns the text of an error. If no daemon answered, it tells whether the call may have had an effect.
+func message(err error) string {
+	var none *client.NoAnswerError
+	switch {
+	case !errors.As(err, &none):
+		return err.Error()
+	case none.Sent:
+		return err.Error() + "\nthe call was sent and may have had an effect; repeat it with the same id"
+	default:
+		return err.Error() + "\nnothing was sent, so the call had no effect"
+	}
+}
+
 // exitCode returns the exit code of an error.
 func exitCode(err error) int {
 	var exit *exitError
