Use the prefix sassafraslb_ for every metric

Cause: the packages chose their prefixes independently. Ruled out: keeping both names for a while; the program has no release yet, and each series would be sent twice. Before: three metrics of daemon/ and ten of request/ start with sassafras_. The page test, extended by the prefix, fails for them. Conclusion: one pattern selects all metrics of a daemon; go test ./daemon passes.

--- a/cmd/sassafras-demo/report.go
+++ b/cmd/sassafras-demo/report.go
@@ -118,7 +118,7 @@
 			fmt.Println("metrics of", n.ID, err)
 			continue
 		}
-		const name = "sassafras_link_bytes_total"
+		const name = "sassafraslb_link_bytes_total"
 		cross += cluster.Sum(m, name, "distance=cross_region", "direction=out")
 		near += cluster.Sum(m, name, "direction=out") - cluster.Sum(m, name, "distance=cross_region", "direction=out")
 	}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -26,10 +26,10 @@
 		counters: do.MustInvoke[*link.Counters](i),
 		members:  do.MustInvoke[*link.Members](i),
 		claimer:  do.MustInvoke[*contract.Claimer](i),
-		bytes: prometheus.NewDesc("sassafras_link_bytes_total",
+		bytes: prometheus.NewDesc("sassafraslb_link_bytes_total",
 			"Bytes to and from daemons, the log and the host list, by distance and direction.", []string{"distance", "direction"}, nil),
-		peers: prometheus.NewDesc("sassafras_members", "Daemons by state as seen from this one.", []string{"state"}, nil),
-		keyHeld: prometheus.NewDesc("sassafras_keys_held",
+		peers: prometheus.NewDesc("sassafraslb_members", "Daemons by state as seen from this one.", []string{"state"}, nil),
+		keyHeld: prometheus.NewDesc("sassafraslb_keys_held",
 			"Keys that this daemon owns and may act for, by kind.", []string{"kind"}, nil),
 	}
 	registry := do.MustInvoke[*prometheus.Registry](i)
--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -33,7 +33,7 @@
 
 var descForm = regexp.MustCompile(`fqName: "([^"]+)".*variableLabels: \{([^}]*)\}`)
 
-// Guards against a metric or label that docs/metrics.md lacks, or that it describes after its removal.
+// Guards against a metric or label that docs/metrics.md lacks, or that it describes after its removal, and against a second prefix.
 func TestPageListsMetrics(t *testing.T) {
 	set := settings.Default()
 	set.DaemonID, set.Zone, set.LogRegion = "entry-1", "a", "r"
@@ -63,6 +63,9 @@
 		if !strings.HasPrefix(m[1], "sassafras") {
 			continue // of the Go runtime and the process
 		}
+		if !strings.HasPrefix(m[1], "sassafraslb_") {
+			t.Errorf("metric %s lacks the prefix sassafraslb_", m[1])
+		}
 		known[m[1]] = true
 		labels := "-"
 		if m[2] != "" {
--- a/internal/cluster/control_bench_test.go
+++ b/internal/cluster/control_bench_test.go
@@ -109,7 +109,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		const bytes = "sassafras_link_bytes_total"
+		const bytes = "sassafraslb_link_bytes_total"
 		out = append(out, controlFigures{
 			sent: Sum(m, bytes, "direction=out"), received: Sum(m, bytes, "direction=in"),
 			cross: Sum(m, bytes, "distance=cross_region", "direction=out"),
--- a/request/loads_test.go
+++ b/request/loads_test.go
@@ -61,7 +61,7 @@
 			t.Fatal(err)
 		}
 		for _, f := range families {
-			if f.GetName() == "sassafras_request_load_report_bytes_total" {
+			if f.GetName() == "sassafraslb_request_load_report_bytes_total" {
 				bytes = f.GetMetric()[0].GetCounter().GetValue()
 			}
 		}
--- a/request/metrics.go
+++ b/request/metrics.go
@@ -24,13 +24,13 @@
 
 func newMetrics(reg prometheus.Registerer) (*metrics, error) {
 	vec := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sassafras_request_" + name, Help: help}, labels)
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sassafraslb_request_" + name, Help: help}, labels)
 	}
 	counter := func(name, help string) prometheus.Counter {
-		return prometheus.NewCounter(prometheus.CounterOpts{Name: "sassafras_request_" + name, Help: help})
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "sassafraslb_request_" + name, Help: help})
 	}
 	seconds := func(name, help string) *prometheus.HistogramVec {
-		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "sassafras_request_" + name, Help: help,
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "sassafraslb_request_" + name, Help: help,
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 17)}, []string{"class"})
 	}
 	m := &metrics{
