Log an outage of the host list once, with its end

Cause: contract/ and request/ each logged a warning per failed read of the same list, under two names and without a line when the list was back. Ruled out: counting in the two packages; both read through cachedHosts, which is the one place that sees every read. A caller that left is no outage. Conclusion: the log shows begin and end of an outage.

--- a/contract/hosts.go
+++ b/contract/hosts.go
@@ -17,7 +17,7 @@
 		if err == nil {
 			c.applyHosts(hosts)
 		} else if ctx.Err() == nil {
-			c.cfg.Logger.Warn().Str("event", "host_list_unreadable").Err(err).Send()
+			c.cfg.Logger.Debug().Str("event", "host_list_failed").Err(err).Send()
 		}
 		sleep(ctx, c.cfg.HostsInterval)
 	}
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
 	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/platform"
@@ -21,10 +24,12 @@
 type cachedHosts struct {
 	from  platform.HostList
 	every time.Duration
+	log   zerolog.Logger
 
-	mu    sync.Mutex
-	at    time.Time
-	hosts []platform.Host
+	mu     sync.Mutex
+	at     time.Time
+	hosts  []platform.Host
+	failed bool // the last read failed
 }
 
 // Hosts implements platform.HostList. The result must not be changed.
@@ -34,7 +39,14 @@
 	if h.hosts != nil && time.Since(h.at) < h.every {
 		return h.hosts, nil
 	}
+	// A caller that left while it waited for the lock says nothing of the list.
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	hosts, err := h.from.Hosts(ctx)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		h.report(err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -42,6 +54,17 @@
 	return hosts, nil
 }
 
+// report logs the begin and the end of an outage of the host list, once each.
+func (h *cachedHosts) report(err error) {
+	switch {
+	case err != nil && !h.failed:
+		h.log.Warn().Str("event", "host_list_unreadable").Err(err).Send()
+	case err == nil && h.failed:
+		h.log.Info().Str("event", "host_list_readable").Send()
+	}
+	h.failed = err != nil
+}
+
 // drainedHosts shows hosts that the configuration drains as leaving.
 type drainedHosts struct {
 	from platform.HostList
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -183,7 +183,7 @@
 	client := platform.NewHostClient(platform.ClientConfig{
 		BaseURL: set.HostsURL, HTTP: countingClient(do.MustInvoke[*link.Counters](i), logDistance(set)),
 	})
-	return &cachedHosts{from: client, every: set.Platform.HostsEvery.Std()}, nil
+	return &cachedHosts{from: client, every: set.Platform.HostsEvery.Std(), log: do.MustInvoke[zerolog.Logger](i)}, nil
 }
 
 func provideClaimer(i do.Injector) (*contract.Claimer, error) {
--- a/request/service.go
+++ b/request/service.go
@@ -80,7 +80,7 @@
 		hosts, err := s.cfg.Hosts.Hosts(call)
 		if err != nil {
 			if ctx.Err() == nil {
-				s.cfg.Log.Warn().Str("event", "host_list_failed").Err(err).Send()
+				s.cfg.Log.Debug().Str("event", "host_list_failed").Err(err).Send()
 			}
 			return
 		}
