--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"os/user"
+	"slices"
 	"syscall"
 	"time"
 	_ "time/tzdata" // operators' machines may lack the time zone database
@@ -17,6 +18,7 @@
 
 	"github.com/sassafraslb/sassafraslb/client"
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/buildinfo"
 )
 
 // The exit codes. docs/sassafrasctl.md lists them.
@@ -60,6 +62,7 @@
 	app := kingpin.New("sassafrasctl", "Submit work, apply the morning sheet, and see what the cell does.\n\n"+
 		"Shell completion: eval \"$(sassafrasctl --completion-script-bash)\"")
 	app.HelpFlag.Short('h')
+	app.Version(buildinfo.Version("sassafrasctl")).UsageWriter(os.Stdout)
 	t := &tool{
 		servers: app.Flag("server", "Base URL of a daemon; repeat it to name several, which are tried in turn. The variable has one URL per line.").
 			Short('s').Envar("SASSAFRAS_SERVERS").Default("http://127.0.0.1:8080").Strings(),
@@ -85,9 +88,26 @@
 	})
 }
 
+// globalFlags are the flags that may stand without a command only by mistake; help, version and completion may.
+var globalFlags = []string{"server", "output", "retry-for", "timeout"}
+
+// lacksCommand reports whether args are a valid command line except that no command is given.
+func lacksCommand(app *kingpin.Application, args []string) bool {
+	line, err := app.ParseContext(args)
+	return err == nil && line.SelectedCommand == nil && lo.EveryBy(line.Elements, func(e *kingpin.ParseElement) bool {
+		flag, ok := e.Clause.(*kingpin.FlagClause)
+		return ok && slices.Contains(globalFlags, flag.Model().Name)
+	})
+}
+
 func run(args []string) int {
 	app, commands := newApp()
-	name, err := app.Parse(withStdin(args))
+	args = withStdin(args)
+	if lacksCommand(app, args) {
+		fmt.Fprintln(os.Stderr, "sassafrasctl: no command given, see sassafrasctl --help")
+		return exitUsage
+	}
+	name, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "sassafrasctl: %s, see sassafrasctl --help\n", err)
 		return exitUsage
--- a/cmd/sassafrasctl/main_test.go
+++ b/cmd/sassafrasctl/main_test.go
@@ -24,3 +24,18 @@
 		}
 	}
 }
+
+// Guards against a command line without a command that counts as a success, and against help or completion being refused.
+func TestMissingCommandIsUsageError(t *testing.T) {
+	for _, args := range [][]string{{}, {"-s", "http://127.0.0.1:1"}, {"--output", "json", "--timeout", "1s"}} {
+		if got := run(args); got != exitUsage {
+			t.Errorf("%q: exit code %d, want %d", args, got, exitUsage)
+		}
+	}
+	for _, args := range [][]string{{"--help"}, {"--version"}, {"help"}, {"top"}, {"--completion-script-bash"}, {"--completion-bash", "s"}} {
+		app, _ := newApp()
+		if lacksCommand(app, args) {
+			t.Errorf("%q counts as lacking a command", args)
+		}
+	}
+}
--- a/cmd/sassafraslbd/main.go
+++ b/cmd/sassafraslbd/main.go
@@ -13,12 +13,14 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraslb/sassafraslb/daemon"
+	"github.com/sassafraslb/sassafraslb/internal/buildinfo"
 	"github.com/sassafraslb/sassafraslb/internal/logline"
 	"github.com/sassafraslb/sassafraslb/settings"
 )
 
 func main() {
 	app := kingpin.New("sassafraslbd", "Cluster scheduler daemon: routes requests to executors and places jobs on workers.")
+	app.Version(buildinfo.Version("sassafraslbd")).UsageWriter(os.Stdout)
 	run := app.Command("run", "Run the daemon until SIGTERM or SIGINT, then stop without cutting open calls.").Default()
 	runConfig := run.Flag("config", "Settings file: JSON with comments (docs/settings.md).").Required().ExistingFile()
 	check := app.Command("check", "Check a settings file, report every fault with field and line, and exit 1 if there is one.")
