Name what an event concerns, and log the life of jobs

Ruled out: one line per claimed key, since a takeover can claim hundreds; the line has the count and the first 5 keys. Ruled out: logging the end of a job in every fold; a successor would log the ends of its predecessor again. Conclusion: an operator can follow a job or a change by its id in the log.

--- a/config/publisher.go
+++ b/config/publisher.go
@@ -196,7 +196,9 @@
 	case err != nil:
 		g.answer(decided{err: err})
 	case f.accepted:
-		p.cfg.Logger.Info().Str("event", "config_accepted").Uint64("version", uint64(f.version)).Int("changes", len(g.members)).Send()
+		for _, w := range g.members {
+			p.cfg.Logger.Info().Str("event", "config_accepted").Uint64("version", uint64(f.version)).Str("change", w.ID).Str("by", w.By).Send()
+		}
 		g.answer(decided{res: Result{Version: f.version}})
 	case !f.known:
 		g.answer(decided{err: errkind.New(errkind.AppendUnknown, "history_passed", "too many changes followed to tell whether this one was among them")})
--- a/contract/decide.go
+++ b/contract/decide.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
@@ -60,7 +61,7 @@
 	at, err := c.writer.Append(ctx, e)
 	if err != nil {
 		c.cfg.Logger.Warn().Str("event", "claim_not_appended").Str("kind", string(errkind.Of(err))).
-			Int("keys", len(rec.Keys)).Err(err).Send()
+			Int("count", len(rec.Keys)).Str("keys", firstKeys(rec.names())).Err(err).Send()
 		if errkind.Of(err) != errkind.AppendUnknown {
 			c.mu.Lock()
 			c.doubts.settle(e.ID)
@@ -68,7 +69,29 @@
 		}
 		return
 	}
-	c.cfg.Logger.Info().Str("event", "claim_appended").Uint64("offset", uint64(at)).Int("keys", len(rec.Keys)).Send()
+	c.cfg.Logger.Info().Str("event", "claim_appended").Uint64("offset", uint64(at)).
+		Int("count", len(rec.Keys)).Str("keys", firstKeys(rec.names())).Send()
+}
+
+// logKeys bounds the keys named in one log line; a takeover can claim hundreds.
+const logKeys = 5
+
+// firstKeys returns the first keys as one text for a log line.
+func firstKeys(keys []Key) string {
+	names := make([]string, 0, logKeys)
+	for _, k := range keys[:min(len(keys), logKeys)] {
+		names = append(names, string(k))
+	}
+	return strings.Join(names, ",")
+}
+
+// names returns the claimed keys.
+func (r claimRecord) names() []Key {
+	keys := make([]Key, len(r.Keys))
+	for i, k := range r.Keys {
+		keys[i] = k.Key
+	}
+	return keys
 }
 
 // dueClaims returns the claim to append now.
--- a/contract/grants.go
+++ b/contract/grants.go
@@ -188,23 +188,23 @@
 			return nil
 		case <-time.After(g.cfg.Interval):
 		}
-		group, err := g.due()
+		group, keys, err := g.due()
 		if err == nil && len(group) > 0 {
 			_, err = g.c.writer.AppendAll(ctx, group)
 		}
 		if err != nil && ctx.Err() == nil {
-			g.c.cfg.Logger.Warn().Str("event", "grant_not_appended").Str("kind", string(errkind.Of(err))).Err(err).Send()
+			g.c.cfg.Logger.Warn().Str("event", "grant_not_appended").Str("kind", string(errkind.Of(err))).
+				Int("count", len(keys)).Str("keys", firstKeys(keys)).Err(err).Send()
 		}
 	}
 }
 
-// due returns the grants to append now, in one batch. A grant whose outcome is
+// due returns the grants to append now, in one batch, and their shards. A grant whose outcome is
 // unknown may be appended again: the fold voids the one that would overlap.
-func (g *Grants) due() ([]platform.Envelope, error) {
+func (g *Grants) due() (group []platform.Envelope, keys []Key, err error) {
 	g.c.mu.Lock()
 	defer g.c.mu.Unlock()
 	now := g.cfg.Now()
-	var out []platform.Envelope
 	for _, k := range g.c.keys {
 		if k.Kind() != IDs {
 			continue
@@ -219,11 +219,11 @@
 		}
 		e, err := platform.NewEnvelope(kindGrant, rec)
 		if err != nil {
-			return nil, err
+			return nil, []Key{k}, err
 		}
-		out = append(out, e)
+		group, keys = append(group, e), append(keys, k)
 	}
-	return out, nil
+	return group, keys, nil
 }
 
 func (g *Grants) next(k Key, s KeyState, now time.Time) (grantRecord, bool) {
--- a/job/cell_test.go
+++ b/job/cell_test.go
@@ -146,19 +146,18 @@
 	}
 	d.gate = &gate{next: &http.Transport{MaxIdleConnsPerHost: 4}}
 	engine := func() Engine { return placement.New(placement.Config{BackoffBase: 20 * time.Millisecond}) }
-	logger := zerolog.Nop()
 	cfg := RackConfig{
 		Ownership: d, Peers: d, Hosts: c.hosts, Topology: top, Region: "north", NewEngine: engine, Shards: 1,
 		Lease: testLease, RenewEvery: testRenew, ProbeEvery: 100 * time.Millisecond, WorkerTimeout: time.Second,
 		ReportEvery: 10 * time.Millisecond, ReportAgain: 100 * time.Millisecond, HostsEvery: 100 * time.Millisecond,
-		NewTransport: func() http.RoundTripper { return d.gate }, Logger: logger,
+		NewTransport: func() http.RoundTripper { return d.gate }, Logger: zerolog.Nop(),
 	}
 	c.change(&cfg)
 	d.rack = NewRack(cfg)
 	d.sched = NewScheduler(SchedulerConfig{
 		Ownership: d, Peers: d, Hosts: c.hosts, Log: c.log, Topology: top, Region: "north", Intentions: c.wants,
 		NewEngine: engine, Shards: 1, RetryEvery: 50 * time.Millisecond, HostsEvery: 100 * time.Millisecond,
-		ReconcileEvery: 50 * time.Millisecond, CallTimeout: time.Second, AdoptEvery: 200 * time.Millisecond, Logger: logger,
+		ReconcileEvery: 50 * time.Millisecond, CallTimeout: time.Second, AdoptEvery: 200 * time.Millisecond, Logger: cfg.Logger,
 	})
 	Join(d.rack, d.sched)
 	mux := drpcmux.New()
--- /dev/null
+++ b/job/log_test.go
@@ -0,0 +1,85 @@
+package job
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/workload"
+)
+
+// lockedBuffer collects log lines of several goroutines.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// with returns the lines that hold all parts.
+func (b *lockedBuffer) with(parts ...string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, line := range strings.Split(b.buf.String(), "\n") {
+		ok := line != ""
+		for _, p := range parts {
+			ok = ok && strings.Contains(line, p)
+		}
+		if ok {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+// Guards against a job whose acceptance, refusal or end leaves no line that names job and team, and against
+// a successor that logs the ends of its predecessor again.
+func TestJobsAreLogged(t *testing.T) {
+	var out lockedBuffer
+	c := newCellWith(t, 2, 2, 2, func(cfg *RackConfig) { cfg.Logger = zerolog.New(&out) })
+	d := c.daemons[0]
+	done, cancelled := testJob("done", workload.Batch, 2, 500, 10*time.Millisecond), testJob("dropped", workload.Service, 1, 500, 0)
+	c.submit(d, done)
+	c.submit(d, cancelled)
+	c.awaitState(d, done, Finished)
+	if _, err := d.sched.Cancel(context.Background(), cancelled.Team, cancelled.ID); err != nil {
+		t.Fatal(err)
+	}
+	c.awaitState(d, cancelled, Cancelled)
+	changed := done
+	changed.Count++
+	if _, err := d.sched.Submit(context.Background(), changed); err == nil {
+		t.Fatal("a known id with other values was accepted")
+	}
+	count := func(want int, parts ...string) {
+		t.Helper()
+		if got := out.with(parts...); len(got) != want {
+			t.Errorf("%d lines with %q, want %d:\n%s", len(got), parts, want, strings.Join(got, "\n"))
+		}
+	}
+	for _, j := range []workload.Job{done, cancelled} {
+		count(1, `"job_accepted"`, `"job":"`+j.ID+`"`, `"team":"`+j.Team+`"`)
+	}
+	count(1, `"job_ended"`, `"job":"`+done.ID+`"`, `"team":"`+done.Team+`"`, `"state":"finished"`)
+	count(1, `"job_ended"`, `"job":"`+cancelled.ID+`"`, `"state":"cancelled"`)
+	count(1, `"job_refused"`, `"job":"`+done.ID+`"`, `"team":"`+done.Team+`"`, `"reason":"job_id_in_use"`)
+
+	owner, _, _ := d.Owner(c.shard())
+	for _, o := range c.daemons {
+		if o.id != owner {
+			c.reg.give(o, testTakeover, c.shard())
+		}
+	}
+	eventually(t, "the successor reads the jobs", func() bool { return len(out.with(`"shard_recovered"`)) == 2 })
+	count(2, `"job_ended"`)
+}
--- a/job/scheduler_serve.go
+++ b/job/scheduler_serve.go
@@ -23,6 +23,7 @@
 	}
 	if err := sh.accept(ctx, j, false); err != nil {
 		s.counts.inc("submit_refused", errkind.ReasonOf(err))
+		s.cfg.Logger.Info().Str("event", "job_refused").Str("job", j.ID).Str("team", j.Team).Str("reason", errkind.ReasonOf(err)).Err(err).Send()
 		return nil, toWire(err)
 	}
 	return sh.status(j.ID)
@@ -51,8 +52,11 @@
 		return err
 	}
 	// A concurrent submit of the same id may have come first.
-	_, err = sh.check(j)
-	return err
+	if _, err = sh.check(j); err != nil {
+		return err
+	}
+	sh.s.cfg.Logger.Info().Str("event", "job_accepted").Str("job", j.ID).Str("team", j.Team).Bool("managed", managed).Send()
+	return nil
 }
 
 // check reports whether the job is known, and refuses one that the policy
--- a/job/shard.go
+++ b/job/shard.go
@@ -118,7 +118,7 @@
 		}
 	case recordEnd:
 		if j := sh.jobs[r.ID]; j != nil {
-			j.end(r.State, r.Reason, r.At)
+			sh.endRecorded(j, r.State, r.Reason, r.At)
 		}
 	}
 }
@@ -183,7 +183,20 @@
 // checkFinished ends a job whose tasks have all finished.
 func (sh *shard) checkFinished(j *jobState) {
 	if j.complete() {
-		j.end(Finished, "", sh.s.cfg.Now())
+		sh.endRecorded(j, Finished, "", sh.s.cfg.Now())
+	}
+}
+
+// endRecorded moves a job to its recorded final state and logs it, unless the record was written before this tenure.
+func (sh *shard) endRecorded(j *jobState, state, reason string, at time.Time) {
+	if j.final() {
+		return
+	}
+	j.end(state, reason, at)
+	select {
+	case <-sh.journal.folded:
+		sh.s.cfg.Logger.Info().Str("event", "job_ended").Str("job", j.job.ID).Str("team", j.job.Team).Str("state", state).Str("reason", reason).Send()
+	default:
 	}
 }
 
--- a/link/server.go
+++ b/link/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -53,10 +54,40 @@
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{Log: func(err error) {
-		s.cfg.Logger.Debug().Str("event", "drpc_connection_ended").Err(err).Send()
+		event := s.cfg.Logger.Debug().Str("event", "drpc_connection_ended")
+		var ended *peerError
+		if errors.As(err, &ended) {
+			event.Str("peer", ended.peer)
+		}
+		event.Err(err).Send()
 	}})
 	return server.Serve(ctx, countingListener{s.cfg.Listener, func(c net.Conn) net.Conn {
-		return newFramedConn(&acceptedConn{countedConn: newCountedConn(c, s.cfg.Counters, zone.CrossRegion),
-			topology: s.cfg.Topology, self: s.cfg.Zone}, s.cfg.ProbeInterval, s.cfg.GiveUpAfter)
+		return peerConn{newFramedConn(&acceptedConn{countedConn: newCountedConn(c, s.cfg.Counters, zone.CrossRegion),
+			topology: s.cfg.Topology, self: s.cfg.Zone}, s.cfg.ProbeInterval, s.cfg.GiveUpAfter)}
 	}})
 }
+
+// peerError is an error of a connection with the address of its far end, which
+// drpcserver does not pass to its log function.
+type peerError struct {
+	peer string
+	err  error
+}
+
+// Error implements error.
+func (e *peerError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error of the connection.
+func (e *peerError) Unwrap() error { return e.err }
+
+// peerConn names the far end in the errors of reads.
+type peerConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c peerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		err = &peerError{c.RemoteAddr().String(), err}
+	}
+	return n, err
+}
