Report a refusal after a lost call as unknown

Cause: the client returned the answer of the last daemon as it was. A call lost at the first daemon and refused by the second, or answered as unknown and refused when repeated, ended as not run although the first attempt may have run. Ruled out: not trying the next daemon after a lost call; a repeat with the same id is safe and usually settles the outcome. Before: TestRefusalAfterLostCallIsUnknown and TestRefusalAfterUnknownOutcomeIsUnknown fail with "not_run, want unknown".

--- a/client/client.go
+++ b/client/client.go
@@ -67,9 +67,10 @@
 
 // Error is the answer of a daemon that refused or failed a call.
 type Error struct {
-	Status  int             `json:"status"`
-	Kind    errkind.Kind    `json:"kind"`
-	Reason  string          `json:"reason"`
+	Status int          `json:"status"`
+	Kind   errkind.Kind `json:"kind"`
+	Reason string       `json:"reason"`
+	// Outcome covers all attempts: it is unknown if this daemon did not run the call, but an earlier attempt may have.
 	Outcome errkind.Outcome `json:"outcome"`
 	Retry   errkind.Retry   `json:"retry"`
 	Detail  string          `json:"detail"`
@@ -114,9 +115,9 @@
 // idempotent.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
 	end := time.Now().Add(c.cfg.RetryFor)
-	sent := false
+	maybeRan := false
 	for pause := c.cfg.Backoff; ; pause = min(2*pause, 2*time.Second) {
-		resp, err := c.round(ctx, r, &sent)
+		resp, err := c.round(ctx, r, &maybeRan)
 		if err == nil || !retryable(err) || time.Now().Add(pause).After(end) {
 			return resp, err
 		}
@@ -140,23 +141,33 @@
 	return errors.As(err, &none)
 }
 
-// round tries each daemon once, until one answers. It sets sent once a daemon that
-// did not answer may have received r.
-func (c *Client) round(ctx context.Context, r Request, sent *bool) (*Response, error) {
+// round tries each daemon once, until one answers. It sets maybeRan once a daemon
+// that did not answer may have received r, or one answered that the outcome is unknown.
+func (c *Client) round(ctx context.Context, r Request, maybeRan *bool) (*Response, error) {
 	none := &NoAnswerError{}
 	for _, server := range c.cfg.Servers {
 		resp, received, err := c.attempt(ctx, server, r)
 		var refusal *Error
-		if err == nil || errors.As(err, &refusal) {
+		if errors.As(err, &refusal) {
+			switch refusal.Outcome {
+			case errkind.Unknown:
+				*maybeRan = true
+			case errkind.NotRun:
+				if *maybeRan {
+					refusal.Outcome = errkind.Unknown
+				}
+			}
+		}
+		if err == nil || refusal != nil {
 			return resp, err
 		}
-		*sent = *sent || received
+		*maybeRan = *maybeRan || received
 		none.Tried = append(none.Tried, err.Error())
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	none.Sent = *sent
+	none.Sent = *maybeRan
 	return nil, none
 }
 
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -142,3 +143,63 @@
 		t.Errorf("received %d, dials %d, sent %v; want 1 call received, a repeat, and sent", received.Load(), dials.Load(), none.Sent)
 	}
 }
+
+// Guards against "not run" by the last daemon asked although an earlier daemon may have run the call.
+func TestRefusalAfterLostCallIsUnknown(t *testing.T) {
+	var received atomic.Int32
+	refuse := func(kind errkind.Kind) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			a := errkind.Table[kind]
+			w.WriteHeader(a.Status)
+			_, _ = fmt.Fprintf(w, `{"kind":%q,"outcome":%q,"retry":%q}`, kind, a.Outcome, a.Retry)
+		}))
+		t.Cleanup(s.Close)
+		return s.URL
+	}
+	lost, draining, failed := hangUp(t, &received), refuse(errkind.Draining), refuse(errkind.UpstreamFailed)
+	for _, c := range []struct {
+		servers []string
+		want    errkind.Outcome
+	}{
+		{[]string{draining}, errkind.NotRun}, {[]string{closedAddress(t), draining}, errkind.NotRun},
+		{[]string{lost, draining}, errkind.Unknown}, {[]string{lost, failed}, errkind.Ran},
+	} {
+		cl, err := New(Config{Servers: c.servers})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var refusal *Error
+		if err := cl.Call(context.Background(), http.MethodPost, "/", nil, nil); !errors.As(err, &refusal) {
+			t.Fatalf("got %v, want Error", err)
+		}
+		if refusal.Outcome != c.want {
+			t.Errorf("servers %v: outcome %s, want %s", c.servers, refusal.Outcome, c.want)
+		}
+	}
+}
+
+// Guards against "not run" in the last round although a daemon answered "unknown" in an earlier one.
+func TestRefusalAfterUnknownOutcomeIsUnknown(t *testing.T) {
+	var calls atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		kind := errkind.BadInput
+		if calls.Add(1) == 1 {
+			kind = errkind.OutcomeUnknown
+		}
+		a := errkind.Table[kind]
+		w.WriteHeader(a.Status)
+		_, _ = fmt.Fprintf(w, `{"kind":%q,"outcome":%q,"retry":%q}`, kind, a.Outcome, a.Retry)
+	}))
+	defer s.Close()
+	cl, err := New(Config{Servers: []string{s.URL}, RetryFor: time.Hour, Backoff: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var refusal *Error
+	if err := cl.Call(context.Background(), http.MethodPost, "/", nil, nil); !errors.As(err, &refusal) {
+		t.Fatalf("got %v, want Error", err)
+	}
+	if calls.Load() != 2 || refusal.Kind != errkind.BadInput || refusal.Outcome != errkind.Unknown {
+		t.Errorf("calls %d, kind %s, outcome %s; want 2, bad_input, unknown", calls.Load(), refusal.Kind, refusal.Outcome)
+	}
+}
