Remove repeated handlers and output code in daemon/ and sassafrasctl

Cause: three handlers of jobs, three maps of keys in doctor and two JSON encoders of sassafrasctl stood side by side with the same logic. Before: three handlers and two encoders that differ in one name each. After: onJob, one map by problem name, and printJSON. The OpenAPI page is the same, byte for byte; go test ./daemon ./cmd/... passes. Conclusion: no change of behaviour.

--- a/cmd/sassafrasctl/output.go
+++ b/cmd/sassafrasctl/output.go
@@ -7,12 +7,16 @@
 	"text/tabwriter"
 )
 
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
 // print writes v as JSON, or the rows of table.
 func (t *tool) print(v any, table func(row func(cells ...any))) error {
 	if *t.output == "json" {
-		enc := json.NewEncoder(os.Stdout)
-		enc.SetIndent("", "  ")
-		return enc.Encode(v)
+		return printJSON(v)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	table(func(cells ...any) {
--- a/cmd/sassafrasctl/sheet.go
+++ b/cmd/sassafrasctl/sheet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -60,9 +59,7 @@
 	s, err := sheet.Parse(in, sheet.Options{Day: day, Topology: topology})
 	if faults, ok := sheet.FaultsOf(err); ok {
 		if *t.output == "json" {
-			enc := json.NewEncoder(os.Stdout)
-			enc.SetIndent("", "  ")
-			_ = enc.Encode(faults)
+			_ = printJSON(faults)
 		} else {
 			fmt.Fprintln(os.Stderr, faults)
 		}
--- a/daemon/api_jobs.go
+++ b/daemon/api_jobs.go
@@ -12,7 +12,6 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/job"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/placement"
 	"github.com/sassafraslb/sassafraslb/workload"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
@@ -84,14 +83,12 @@
 	ID   string `path:"id" maxLength:"128"`
 }
 
-type statusOutput struct{ Body job.Status }
-
-type explainOutput struct{ Body placement.Explanation }
+type jobOutput[T any] struct{ Body T }
 
 func (d *Daemon) routeJobs(api huma.API) {
 	scheduler := do.MustInvoke[*job.Scheduler](d.injector)
 	submit := operation("submit-job", http.MethodPost, "/v1/teams/{team}/jobs", "Submit a job; it is durable once this answers")
-	huma.Register(api, submit, func(ctx context.Context, in *submitInput) (*statusOutput, error) {
+	huma.Register(api, submit, func(ctx context.Context, in *submitInput) (*jobOutput[job.Status], error) {
 		if d.draining.Load() {
 			return nil, answer(errkind.New(errkind.Draining, "daemon_draining", "this daemon is stopping"))
 		}
@@ -103,31 +100,24 @@
 		if err != nil {
 			return nil, answerFor(err, j.ID)
 		}
-		return &statusOutput{st}, nil
+		return &jobOutput[job.Status]{st}, nil
 	})
 	status := operation("job-status", http.MethodGet, "/v1/teams/{team}/jobs/{id}", "State of a job and counts of its tasks")
-	huma.Register(api, status, func(ctx context.Context, in *jobInput) (*statusOutput, error) {
-		st, err := scheduler.Status(ctx, in.Team, in.ID)
-		if err != nil {
-			return nil, answer(err)
-		}
-		return &statusOutput{st}, nil
-	})
+	huma.Register(api, status, onJob(scheduler.Status))
 	cancel := operation("cancel-job", http.MethodDelete, "/v1/teams/{team}/jobs/{id}", "Cancel a job; its tasks are stopped")
 	cancel.DefaultStatus = http.StatusOK
-	huma.Register(api, cancel, func(ctx context.Context, in *jobInput) (*statusOutput, error) {
-		st, err := scheduler.Cancel(ctx, in.Team, in.ID)
-		if err != nil {
-			return nil, answer(err)
-		}
-		return &statusOutput{st}, nil
-	})
+	huma.Register(api, cancel, onJob(scheduler.Cancel))
 	explain := operation("explain-job", http.MethodGet, "/v1/teams/{team}/jobs/{id}/explain", "Why a job is where it is")
-	huma.Register(api, explain, func(ctx context.Context, in *jobInput) (*explainOutput, error) {
-		ex, err := scheduler.Explain(ctx, in.Team, in.ID)
+	huma.Register(api, explain, onJob(scheduler.Explain))
+}
+
+// onJob returns the handler of a call that takes the team and the id of a job.
+func onJob[T any](call func(ctx context.Context, team, id string) (T, error)) func(context.Context, *jobInput) (*jobOutput[T], error) {
+	return func(ctx context.Context, in *jobInput) (*jobOutput[T], error) {
+		out, err := call(ctx, in.Team, in.ID)
 		if err != nil {
 			return nil, answer(err)
 		}
-		return &explainOutput{ex}, nil
-	})
+		return &jobOutput[T]{out}, nil
+	}
 }
--- a/daemon/health.go
+++ b/daemon/health.go
@@ -96,25 +96,30 @@
 	return out
 }
 
+// What can be wrong with the owners of keys. The kind of the keys precedes it in the name of the problem.
+const (
+	withoutOwner  = "_without_owner"
+	withoutTenure = "_without_tenure"
+	ownerDead     = "_owner_dead"
+)
+
 // keyProblems reports the keys without an owner that may act, grouped by kind, as daemon self sees them.
 func keyProblems(self string, keys []KeyOwner, members []link.Member) []Problem {
 	states := make(map[string]link.State, len(members))
 	for _, m := range members {
 		states[m.ID] = m.State
 	}
-	free := make(map[contract.KeyKind][]string)
-	dead := make(map[contract.KeyKind][]string)
-	idle := make(map[contract.KeyKind][]string)
+	found := make(map[string][]string) // keys by the name of their problem
 	for _, k := range keys {
-		kind := contract.Key(k.Key).Kind()
+		kind := string(contract.Key(k.Key).Kind())
 		state, known := states[k.Owner]
 		switch {
 		case k.Owner == "":
-			free[kind] = append(free[kind], k.Key)
+			found[kind+withoutOwner] = append(found[kind+withoutOwner], k.Key)
 		case k.Owner == self && !k.Mine:
-			idle[kind] = append(idle[kind], k.Key)
+			found[kind+withoutTenure] = append(found[kind+withoutTenure], k.Key)
 		case k.Owner != self && (!known || state == link.Dead || state == link.Left):
-			dead[kind] = append(dead[kind], k.Key+" ("+k.Owner+")")
+			found[kind+ownerDead] = append(found[kind+ownerDead], k.Key+" ("+k.Owner+")")
 		}
 	}
 	use := map[contract.KeyKind]string{
@@ -123,14 +128,13 @@
 	}
 	var out []Problem
 	for _, kind := range []contract.KeyKind{contract.Rack, contract.Exec, contract.Jobs, contract.IDs} {
-		if ks := free[kind]; len(ks) > 0 {
-			out = append(out, Problem{string(kind) + "_without_owner", use[kind], "no daemon owns " + strings.Join(ks, ", ")})
-		}
-		if ks := dead[kind]; len(ks) > 0 {
-			out = append(out, Problem{string(kind) + "_owner_dead", use[kind], "the owner is dead or has left: " + strings.Join(ks, ", ")})
-		}
-		if ks := idle[kind]; len(ks) > 0 {
-			out = append(out, Problem{string(kind) + "_without_tenure", use[kind], "tenure is not confirmed for " + strings.Join(ks, ", ")})
+		for _, p := range []struct{ suffix, why string }{
+			{withoutOwner, "no daemon owns "}, {ownerDead, "the owner is dead or has left: "}, {withoutTenure, "tenure is not confirmed for "},
+		} {
+			name := string(kind) + p.suffix
+			if ks := found[name]; len(ks) > 0 {
+				out = append(out, Problem{name, use[kind], p.why + strings.Join(ks, ", ")})
+			}
 		}
 	}
 	return out
