Simplify internal/cluster and the demonstration

Cause: internal/cluster had its own contains and sorted keys, and startZone started workers and executors in one function; the demonstration wrote the size of a worker three times and kept the teams of its jobs in a second list by position. Ruled out: sharing Poll and Send with other packages; nothing else needs them. Before: a job added to the demonstration without its team was asked for elsewhere. After: slices and maps of the standard library, two functions per zone, one size of a worker, and the team beside the job. The demonstration ends with exit code 0 and 'nothing was lost, doubled, crossed or overcommitted'. Conclusion: no change of behaviour.

--- a/cmd/sassafras-demo/main.go
+++ b/cmd/sassafras-demo/main.go
@@ -20,6 +20,9 @@
 // limit ends the demonstration in any case.
 const limit = 58 * time.Second
 
+// workerSize is the capacity of each worker.
+var workerSize = machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768}
+
 func main() {
 	exe, err := os.Executable()
 	if err != nil {
@@ -49,8 +52,7 @@
 		LogRegion: "lombardy", TimeZone: "Europe/Rome",
 		Daemons: []zone.Name{"lom-bergamo", "lom-monza", "lom-bergamo", "ven-treviso", "ven-treviso"},
 		Workers: 4, Executors: 2,
-		Capacity:    machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768},
-		ServiceTime: 20 * time.Millisecond, Seed: 1, LinkDelay: 8 * time.Millisecond,
+		Capacity: workerSize, ServiceTime: 20 * time.Millisecond, Seed: 1, LinkDelay: 8 * time.Millisecond,
 		Settings: map[string]any{"log_level": "info"},
 	})
 	if err != nil {
--- a/cmd/sassafras-demo/play.go
+++ b/cmd/sassafras-demo/play.go
@@ -43,11 +43,17 @@
 	mu       sync.Mutex
 	dead     map[string]bool
 	attempts []cluster.Attempt
-	jobs     []job.Status
+	jobs     []submitted
 	takeover time.Duration
 }
 
-// say prints a step with the time since the start.
+// submitted is a job of the demonstration with the state last seen.
+type submitted struct {
+	team   string
+	status job.Status
+}
+
+// say prints a step.
 func (d *demo) say(format string, args ...any) { fmt.Printf("- "+format+"\n", args...) }
 
 func (d *demo) play(ctx context.Context) error {
@@ -135,7 +141,7 @@
 		if err := caller.Call(ctx, http.MethodPost, "/v1/teams/"+j.team+"/jobs", j.body, &st); err != nil {
 			return errors.Wrap(err, "submit "+j.body.ID)
 		}
-		d.jobs = append(d.jobs, st)
+		d.jobs = append(d.jobs, submitted{j.team, st})
 		d.say("%s job %s of %d tasks is %s", j.body.Kind, j.body.ID, j.body.Count, st.State)
 	}
 	return nil
@@ -161,21 +167,22 @@
 }
 
 func (d *demo) finishJobs(ctx context.Context) error {
-	teams := []string{"stock", "valuations", "quotes"}
 	for i := range d.jobs {
-		err := cluster.Poll(ctx, "end of "+d.jobs[i].Job, func(ctx context.Context) error {
-			if err := d.c.Send(ctx, http.MethodGet, d.c.Daemons[1].URL()+"/v1/teams/"+teams[i]+"/jobs/"+d.jobs[i].Job, nil, &d.jobs[i]); err != nil {
+		st := &d.jobs[i].status
+		url := d.c.Daemons[1].URL() + "/v1/teams/" + d.jobs[i].team + "/jobs/" + st.Job
+		err := cluster.Poll(ctx, "end of "+st.Job, func(ctx context.Context) error {
+			if err := d.c.Send(ctx, http.MethodGet, url, nil, st); err != nil {
 				return err
 			}
-			if !d.jobs[i].Final() {
-				return errors.Errorf("%+v", d.jobs[i])
+			if !st.Final() {
+				return errors.Errorf("%+v", *st)
 			}
 			return nil
 		})
 		if err != nil {
 			return err
 		}
-		d.say("job %s: %s, %d tasks finished", d.jobs[i].Job, d.jobs[i].State, d.jobs[i].Finished)
+		d.say("job %s: %s, %d tasks finished", st.Job, st.State, st.Finished)
 	}
 	return nil
 }
--- a/cmd/sassafras-demo/report.go
+++ b/cmd/sassafras-demo/report.go
@@ -10,7 +10,6 @@
 	"github.com/sassafraslb/sassafraslb/internal/cluster"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/job"
-	"github.com/sassafraslb/sassafraslb/machine"
 )
 
 const (
@@ -30,11 +29,11 @@
 		fmt.Println("executor records:", err)
 		return 1
 	}
-	bad := cluster.CheckTasks(workers, machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768})
+	bad := cluster.CheckTasks(workers, workerSize)
 	bad = append(bad, cluster.CheckSlots(executors, slots, connections)...)
 	bad = append(bad, cluster.CheckAnswers(d.attempts, executors)...)
-	for _, st := range d.jobs {
-		if st.State != job.Finished {
+	for _, j := range d.jobs {
+		if st := j.status; st.State != job.Finished {
 			bad = append(bad, fmt.Sprintf("job %s ended as %s: %s", st.Job, st.State, st.Reason))
 		}
 	}
@@ -103,7 +102,7 @@
 		used += s.cpu
 		peak = max(peak, used)
 	}
-	total := int64(len(d.c.Workers)) * 16_000
+	total := int64(len(d.c.Workers)) * workerSize.CPUMilli
 	fmt.Printf("packing: %d task runs on %d workers, peak %d%% of processors\n", len(records), len(d.c.Workers), 100*peak/total)
 }
 
--- a/internal/cluster/cell_test.go
+++ b/internal/cluster/cell_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"slices"
 	"testing"
 	"time"
 
@@ -107,7 +108,7 @@
 	x.t.Helper()
 	for _, r := range []zone.Region{"lombardy", "veneto"} {
 		for _, n := range x.DaemonsIn(r) {
-			if !n.Running() || contains(except, n.ID) {
+			if !n.Running() || slices.Contains(except, n.ID) {
 				continue
 			}
 			if err := x.Ready(x.ctx, n); err != nil {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -6,10 +6,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -105,12 +107,13 @@
 	if c.Log, err = c.standin(ctx, "log", "", append([]string{"log"}, c.opts.LogFlags...)...); err != nil {
 		return err
 	}
-	for _, r := range sortedRegions(c.opts.Regions) {
+	regions := slices.Sorted(maps.Keys(c.opts.Regions))
+	for _, r := range regions {
 		if c.lists[r], err = c.standin(ctx, "hosts-"+string(r), "", "hosts", "--lag", hostsLag.String()); err != nil {
 			return err
 		}
 	}
-	for _, r := range sortedRegions(c.opts.Regions) {
+	for _, r := range regions {
 		for _, z := range c.opts.Regions[r] {
 			if err := c.startZone(ctx, z); err != nil {
 				return err
@@ -122,6 +125,13 @@
 
 // startZone starts the workers and executors of a zone and lists them.
 func (c *Cluster) startZone(ctx context.Context, z zone.Name) error {
+	if err := c.startWorkers(ctx, z); err != nil {
+		return err
+	}
+	return c.startExecutors(ctx, z)
+}
+
+func (c *Cluster) startWorkers(ctx context.Context, z zone.Name) error {
 	caps := c.opts.Capacity
 	for i := range c.opts.Workers {
 		id := fmt.Sprintf("worker-%s-%d", z, i+1)
@@ -137,6 +147,10 @@
 			return err
 		}
 	}
+	return nil
+}
+
+func (c *Cluster) startExecutors(ctx context.Context, z zone.Name) error {
 	for i := range c.opts.Executors {
 		id := fmt.Sprintf("executor-%s-%d", z, i+1)
 		n, err := c.standin(ctx, id, z, "executor", "--service-time", c.opts.ServiceTime.String(), "--seed", fmt.Sprint(c.opts.Seed+uint64(i)))
--- a/internal/cluster/control.go
+++ b/internal/cluster/control.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -94,10 +95,8 @@
 
 func (c *Cluster) regionOf(z zone.Name) zone.Region {
 	for r, zones := range c.opts.Regions {
-		for _, other := range zones {
-			if other == z {
-				return r
-			}
+		if slices.Contains(zones, z) {
+			return r
 		}
 	}
 	return ""
@@ -132,7 +131,7 @@
 		}
 		acting := make(map[string]map[string]bool)
 		for _, k := range owners {
-			if k.Owner == "" || contains(except, k.Owner) {
+			if k.Owner == "" || slices.Contains(except, k.Owner) {
 				return errors.Errorf("%s has owner %q", k.Key, k.Owner)
 			}
 			if acting[k.Owner] == nil {
@@ -251,20 +250,9 @@
 func (c *Cluster) DaemonsIn(r zone.Region) []*Node {
 	var out []*Node
 	for _, n := range c.Daemons {
-		for _, z := range c.opts.Regions[r] {
-			if n.Zone == z {
-				out = append(out, n)
-			}
+		if slices.Contains(c.opts.Regions[r], n.Zone) {
+			out = append(out, n)
 		}
 	}
 	return out
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/cluster/forward.go
+++ b/internal/cluster/forward.go
@@ -114,9 +114,8 @@
 	f.track(out, true)
 	defer f.track(out, false)
 	var wg sync.WaitGroup
-	wg.Add(2)
-	go func() { defer wg.Done(); f.copy(out, in, in); _ = out.Close() }()
-	go func() { defer wg.Done(); f.copy(in, out, in); _ = in.Close() }()
+	wg.Go(func() { f.copy(out, in, in); _ = out.Close() })
+	wg.Go(func() { f.copy(in, out, in); _ = in.Close() })
 	wg.Wait()
 }
 
--- a/internal/cluster/load.go
+++ b/internal/cluster/load.go
@@ -56,9 +56,7 @@
 	var wg sync.WaitGroup
 	var turn atomic.Int64
 	for caller := range l.Callers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				got := l.request(fmt.Sprintf("caller %d request %d", caller, n), classes[(caller+n)%len(classes)], &turn)
 				mu.Lock()
@@ -66,7 +64,7 @@
 				mu.Unlock()
 				time.Sleep(l.Pause)
 			}
-		}()
+		})
 	}
 	wg.Wait()
 	return all
--- a/internal/cluster/process.go
+++ b/internal/cluster/process.go
@@ -3,12 +3,9 @@
 import (
 	"os"
 	"os/exec"
-	"sort"
 	"syscall"
 
 	"github.com/go-faster/errors"
-
-	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // process is one started program.
@@ -79,12 +76,3 @@
 		return true
 	}
 }
-
-func sortedRegions(m map[zone.Region][]zone.Name) []zone.Region {
-	out := make([]zone.Region, 0, len(m))
-	for r := range m {
-		out = append(out, r)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
