Check the settings of tasks in a function of their own

Cause: the checks of tasks.lease, renew and learned_margin stood in the function of section ownership. Ruled out: a table of bounds for all fields; the combinations need code anyway. Before and after: the same faults; go test ./settings passes. Conclusion: no change of behaviour.

--- a/settings/check.go
+++ b/settings/check.go
@@ -81,6 +81,7 @@
 	c.number("job_shards", float64(s.JobShards), 1, maxShards)
 	c.number("id_shards", float64(s.IDShards), 1, maxShards)
 	c.ownership(s)
+	c.tasks(s)
 	c.requests(s)
 	c.between("platform.log_timeout", s.Platform.LogTimeout, 10*time.Millisecond, time.Minute)
 	c.between("platform.hosts_every", s.Platform.HostsEvery, 50*time.Millisecond, time.Minute)
@@ -124,6 +125,9 @@
 	}
 	c.between("ownership.stability", o.Stability, 100*time.Millisecond, 5*time.Minute)
 	c.between("ownership.id_grant", o.IDGrant, time.Second, time.Hour)
+}
+
+func (c *checker) tasks(s *Settings) {
 	c.between("tasks.lease", s.Tasks.Lease, 100*time.Millisecond, time.Hour)
 	c.number("tasks.learned_margin", s.Tasks.Margin, 0, 5)
 	if s.Tasks.Lease < 3*s.Tasks.Renew {
