--- a/internal/cluster/cell_test.go
+++ b/internal/cluster/cell_test.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
