Word the note on calls without an answer for reads as well

Cause: top and doctor change nothing, so 'may have had an effect' misleads there. Ruled out: a note per command; the client does not know what a path does. Before: 'the call was sent and may have had an effect'. After: 'the call may have reached a daemon; if it changes something, repeat it with the same id'. Conclusion: one note fits all commands.

--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -126,14 +126,14 @@
 	return exitOK
 }
 
-// message returns the text of an error. If no daemon answered, it tells whether the call may have had an effect.
+// message returns the text of an error. If no daemon answered, it tells whether the call may have reached one.
 func message(err error) string {
 	var none *client.NoAnswerError
 	switch {
 	case !errors.As(err, &none):
 		return err.Error()
 	case none.Sent:
-		return err.Error() + "\nthe call was sent and may have had an effect; repeat it with the same id"
+		return err.Error() + "\nthe call may have reached a daemon; if it changes something, repeat it with the same id"
 	default:
 		return err.Error() + "\nnothing was sent, so the call had no effect"
 	}
--- a/cmd/sassafrasctl/main_test.go
+++ b/cmd/sassafrasctl/main_test.go
@@ -14,7 +14,7 @@
 	for _, c := range []struct {
 		sent bool
 		want string
-	}{{false, "nothing was sent"}, {true, "may have had an effect"}} {
+	}{{false, "nothing was sent"}, {true, "may have reached a daemon"}} {
 		err := errors.Wrap(&client.NoAnswerError{Tried: []string{"x"}, Sent: c.sent}, "job 1")
 		if got := message(err); !strings.Contains(got, c.want) || !strings.Contains(got, "job 1") {
 			t.Errorf("sent %v: message %q lacks %q or the id", c.sent, got, c.want)
