--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -183,7 +184,7 @@
 	client := platform.NewHostClient(platform.ClientConfig{
 		BaseURL: set.HostsURL, HTTP: countingClient(do.MustInvoke[*link.Counters](i), logDistance(set)),
 	})
-	return &cachedHosts{from: client, every: set.Platform.HostsEvery.Std()}, nil
+	return &cachedHosts{from: client, every: set.Platform.HostsEvery.Std(), log: do.MustInvoke[zerolog.Logger](i)}, nil
 }
 
 func provideClaimer(i do.Injector) (*contract.Claimer, error) {
@@ -240,9 +241,17 @@
 	})
 }
 
+// nonZero replaces 0, which the packages take for their default, by a value that is too small to have an effect.
+func nonZero(f float64) float64 {
+	if f == 0 {
+		return math.SmallestNonzeroFloat64
+	}
+	return f
+}
+
 // newEngine returns the placement policy of one job shard.
 func newEngine(set *settings.Settings) func() job.Engine {
-	return func() job.Engine { return placement.New(placement.Config{SizeMargin: set.Tasks.Margin}) }
+	return func() job.Engine { return placement.New(placement.Config{SizeMargin: nonZero(set.Tasks.Margin)}) }
 }
 
 func provideRack(i do.Injector) (*job.Rack, error) {
@@ -271,15 +280,30 @@
 
 func provideRequests(i do.Injector) (*request.Service, error) {
 	set := do.MustInvoke[*settings.Settings](i)
-	r := &set.Requests
-	return request.New(request.Config{
-		Peers: do.MustInvoke[*link.Members](i), Ownership: do.MustInvoke[*contract.Claimer](i),
-		Grants: do.MustInvoke[*contract.Grants](i), View: do.MustInvoke[*config.Store](i),
-		Hosts:    &drainedHosts{from: do.MustInvoke[platform.HostList](i), view: do.MustInvoke[*config.Store](i)},
-		Topology: do.MustInvoke[*zone.Topology](i), Log: do.MustInvoke[zerolog.Logger](i),
-		Metrics: do.MustInvoke[*prometheus.Registry](i), Shards: set.IDShards,
-		DefaultDeadline: r.DefaultDeadline.Std(), MaxBodyBytes: int(r.MaxBodyBytes), MaxAnswerBytes: int(r.MaxAnswerBytes),
-		CrossRegionWait: r.CrossRegionWait.Std(), HostsInterval: set.Platform.HostsEvery.Std(),
-		ProbeInterval: r.ProbeEvery.Std(), SilentAfter: r.SilentAfter.Std(), RetryShare: r.RetryBudget,
-	})
+	cfg := requestLimits(&set.Requests)
+	cfg.Peers, cfg.Ownership = do.MustInvoke[*link.Members](i), do.MustInvoke[*contract.Claimer](i)
+	cfg.Grants, cfg.View = do.MustInvoke[*contract.Grants](i), do.MustInvoke[*config.Store](i)
+	cfg.Hosts = &drainedHosts{from: do.MustInvoke[platform.HostList](i), view: do.MustInvoke[*config.Store](i)}
+	cfg.Topology, cfg.Log = do.MustInvoke[*zone.Topology](i), do.MustInvoke[zerolog.Logger](i)
+	cfg.Metrics, cfg.Shards = do.MustInvoke[*prometheus.Registry](i), set.IDShards
+	cfg.HostsInterval = set.Platform.HostsEvery.Std()
+	return request.New(cfg)
+}
+
+// requestLimits returns the part of the configuration of requests that comes from their settings alone.
+func requestLimits(r *settings.Requests) request.Config {
+	cfg := request.Config{
+		DefaultDeadline: r.DefaultDeadline.Std(),
+		MaxBodyBytes:    int(r.MaxBodyBytes),
+		MaxAnswerBytes:  int(r.MaxAnswerBytes),
+		QueuePerSlot:    r.QueuePerSlot,
+		CrossRegionWait: max(r.CrossRegionWait.Std(), time.Nanosecond), // 0 would be the default
+		ProbeInterval:   r.ProbeEvery.Std(),
+		SilentAfter:     r.SilentAfter.Std(),
+		RetryShare:      nonZero(r.RetryBudget),
+	}
+	if r.RetryBudget == 0 {
+		cfg.RetryBurst = nonZero(0) // the default allows 20 retries before the share counts
+	}
+	return cfg
 }
