Move tasks off drained and leaving workers

Cause: a draining worker took no new tasks, but nothing asked for the stop of those it ran, so services stayed until the host was stopped.

The engine now stops one task per service at a time (DrainParallel), only if a search finds another worker, and keeps that room until the task has ended there. Batches with Preempt are checkpointed, other batches and gangs run to their end. Unreachable workers are left to the end of their leases. A start that was queued before its worker began to leave is refused as worker_leaving.

Ruled out: stopping without keeping the room, because waiting work takes it while the task stops and the service is then short of a task; starting the replacement first, because a task may not run in two places.

--- /dev/null
+++ b/job/drain_test.go
@@ -0,0 +1,67 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/workload"
+)
+
+// setState changes the state of a worker on the host list.
+func (c *cell) setState(id string, s platform.HostState) {
+	c.hosts.mu.Lock()
+	defer c.hosts.mu.Unlock()
+	for i := range c.hosts.list {
+		if c.hosts.list[i].ID == id {
+			c.hosts.list[i].State = s
+		}
+	}
+}
+
+// openOn returns the tasks that a worker runs, by job.
+func (c *cell) openOn(id string) map[string]int {
+	out := make(map[string]int)
+	for _, r := range c.workers[id].Records() {
+		if r.EndUS == 0 {
+			job, _, _ := taskIndex(r.Task)
+			out[job]++
+		}
+	}
+	return out
+}
+
+// Guards against tasks that stay on a leaving worker, that run in two places
+// while they move, and against a gang or a batch without checkpoints that a
+// drain interrupts. The worker that leaves is one that holds a service task.
+func TestLeavingWorkerIsDrained(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	d := c.daemons[0]
+	service := testJob("service", workload.Service, 4, 500, 0)
+	fixed := testJob("fixed", workload.Batch, 8, 500, 3*time.Second)
+	fixed.Preempt = false
+	gang := testJob("gang", workload.Gang, 4, 500, 3*time.Second)
+	for _, j := range []workload.Job{service, fixed, gang} {
+		c.submit(d, j)
+	}
+	c.awaitRunning(d, service, 4)
+	c.awaitRunning(d, fixed, 8)
+	c.awaitRunning(d, gang, 4)
+	c.setState("a-0", platform.Leaving)
+	eventually(t, "the service leaves the worker", func() bool { return c.openOn("a-0")["service"] == 0 })
+	c.awaitRunning(d, service, 4)
+	c.awaitState(d, fixed, Finished)
+	c.awaitState(d, gang, Finished)
+	c.finishedOnce([]workload.Job{fixed, gang})
+	c.setState("b-0", platform.Gone)
+	eventually(t, "the service leaves the worker that is gone", func() bool { return c.openOn("b-0")["service"] == 0 })
+	c.awaitRunning(d, service, 4)
+	starts := len(c.workers["b-0"].Records()) + len(c.workers["a-0"].Records())
+	more := testJob("more", workload.Batch, 20, 100, 10*time.Millisecond)
+	c.submit(d, more)
+	c.awaitState(d, more, Finished)
+	if n := len(c.workers["b-0"].Records()) + len(c.workers["a-0"].Records()); n != starts {
+		t.Errorf("%d tasks were started on leaving workers", n-starts)
+	}
+	c.check()
+}
--- a/job/rack_tenure.go
+++ b/job/rack_tenure.go
@@ -197,7 +197,7 @@
 	switch {
 	case !w.reachable:
 		return nil, "worker_unreachable"
-	case w.leaving || t.rack.cfg.Draining(w.host):
+	case w.closing():
 		return nil, "worker_leaving"
 	}
 	h := &held{worker: w, task: task, state: state}
@@ -257,6 +257,6 @@
 	}
 	return &rpc.NodeState{
 		Id: w.host.ID, Total: toAmount(w.capacity), Foreign: toAmount(foreign), Preemptible: toAmount(preemptible),
-		Draining: w.leaving || t.rack.cfg.Draining(w.host), Unreachable: !w.reachable,
+		Draining: w.closing(), Unreachable: !w.reachable,
 	}
 }
--- a/job/rack_worker.go
+++ b/job/rack_worker.go
@@ -66,6 +66,10 @@
 	return time.Duration(float64(w.t.rack.cfg.Lease) * (1 + w.t.rack.cfg.Drift))
 }
 
+// closing reports whether the worker takes no new tasks, because the host list
+// or the configuration takes it out of use.
+func (w *worker) closing() bool { return w.leaving || w.t.rack.cfg.Draining(w.host) }
+
 func (w *worker) stop() { w.cancel() }
 
 func (w *worker) lapsed(now time.Time) bool { return now.After(w.lapse) }
@@ -302,6 +306,10 @@
 	stopped := h.state != statePending || h.stopMode != ""
 	if stopped {
 		h.set(stateNotStarted, "stopped_before_start")
+	} else if w.closing() {
+		// The worker began to leave while the start was queued.
+		stopped = true
+		h.set(stateNotStarted, "worker_leaving")
 	}
 	h.sent = true
 	w.t.mu.Unlock()
--- a/job/shard.go
+++ b/job/shard.go
@@ -206,7 +206,7 @@
 	sh.engine.SetNode(placement.Node{
 		ID: n.GetId(), Rack: string(rack), Zone: zone.Name(rack.Place()),
 		Total: fromAmount(n.GetTotal()), Foreign: fromAmount(n.GetForeign()), Preemptible: fromAmount(n.GetPreemptible()),
-		Draining: n.GetDraining() || n.GetUnreachable() || !usable,
+		Draining: n.GetDraining(), Unreachable: n.GetUnreachable() || !usable,
 	})
 }
 
--- a/placement/config.go
+++ b/placement/config.go
@@ -36,6 +36,9 @@
 	// ReclaimAfter is the wait after which a team below its quota takes borrowed
 	// resources back. Default 5 s.
 	ReclaimAfter time.Duration
+	// DrainParallel bounds the tasks of one service that are out of service at
+	// once while workers are drained. Default 1.
+	DrainParallel int
 	// NoLearning keeps declared sizes and run times. Learning is on by default
 	// because it raises packing (TestLearningBeatsDeclaration).
 	NoLearning bool
@@ -80,6 +83,7 @@
 	def(&c.Reservations, 4)
 	def(&c.LendFor, time.Minute)
 	def(&c.ReclaimAfter, 5*time.Second)
+	def(&c.DrainParallel, 1)
 	def(&c.MinSamples, 20)
 	def(&c.SizePercentile, 0.98)
 	def(&c.SizeMargin, 0.15)
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -12,6 +12,7 @@
 func (e *Engine) Decide(now time.Time, limit int) []Proposal {
 	e.advance(now)
 	var out []Proposal
+	e.placeMoved(now, &out)
 	for n := 0; n < limit; {
 		t, ok := e.teamHeap.peek()
 		if !ok {
@@ -39,6 +40,7 @@
 	e.checkAll(now)
 	e.startProbes(now)
 	e.reserveBlocked(now)
+	e.drain(now)
 }
 
 // NextWake returns when Decide should be called although no event arrived, and
@@ -62,6 +64,10 @@
 	}
 	add(e.nextProbe)
 	add(e.nextReserve)
+	add(e.nextDrain)
+	if e.drainSoon {
+		add(e.clock)
+	}
 	return at, !at.IsZero()
 }
 
@@ -81,8 +87,18 @@
 		e.park(g)
 		return 0
 	}
+	e.propose(j, s, plan, preempt, now, out)
+	e.dropReservation(s)
+	if len(j.pending) == 0 {
+		e.dequeue(j)
+	}
+	return len(plan)
+}
+
+// propose reserves the workers of plan for the next waiting tasks of j.
+func (e *Engine) propose(j *job, s *shape, plan []*node, preempt bool, now time.Time, out *[]Proposal) {
 	prop := proposalFor(out, j)
-	for _, n := range plan { // reserve
+	for _, n := range plan {
 		k := len(j.pending) - 1
 		t := j.tasks[j.pending[k]]
 		j.pending = j.pending[:k]
@@ -102,11 +118,6 @@
 		e.stats.Preemptions += int64(len(plan))
 	}
 	e.stats.Placements += int64(len(plan))
-	e.dropReservation(s)
-	if len(j.pending) == 0 {
-		e.dequeue(j)
-	}
-	return len(plan)
 }
 
 // proposalFor returns the open proposal of j: the last one if it is for j and j
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -48,8 +48,12 @@
 	nextReserve time.Time // when blocked shapes are next considered for a reservation
 	stops       []Stop
 	ended       []Ended
-	kept        []string // ended jobs that Explain remembers, oldest first
-	plan        []*node  // scratch space of the gang search
+	draining    map[*node]bool // reachable workers that give their tasks up
+	drainSoon   bool           // a worker or a task calls for a pass of drain
+	nextDrain   time.Time      // when tasks that could not be moved are considered again
+	moved       []*task        // stopped by drain, to be placed in the room kept for them
+	kept        []string       // ended jobs that Explain remembers, oldest first
+	plan        []*node        // scratch space of the gang search
 }
 
 // New returns an empty engine.
@@ -61,6 +65,7 @@
 		classes: make(map[classKey]int), teams: make(map[string]*team), jobs: make(map[string]*job),
 		placed: make(map[string]*task), families: make(map[familyKey]*family),
 		shapes: make(map[shapeKey]*shape), groups: make(map[groupKey]*group),
+		draining: make(map[*node]bool),
 	}
 	e.stats.Refused, e.stats.Rejected = make(map[string]int64), make(map[string]int64)
 	e.teamHeap = heapOf[*team]{less: teamBefore, steps: &e.stats.QueueSteps}
--- a/placement/job.go
+++ b/placement/job.go
@@ -33,6 +33,8 @@
 	failures  int // counted against Job.Retries
 	rejects   int // consecutive refusals by rack owners
 	node      *node
+	target    *node // where room is kept while t is moved off a drained worker
+	kept      machine.Resources
 	avoid     *node // where it failed last; another worker is preferred
 	pos       int   // position in the backoff heap or in node.tasks
 	id        string
--- a/placement/node.go
+++ b/placement/node.go
@@ -22,6 +22,7 @@
 	used   machine.Resources // held by tracked tasks, proposed or running
 	soft   machine.Resources // part of used that urgent work may preempt
 	tasks  []*task
+	kept   machine.Resources // room for tasks that are being moved here
 	resv   *reservation
 	slots  int // tasks of the reservation that n is to hold
 	health health
@@ -29,7 +30,7 @@
 
 // free may be negative while a preemption is in progress: the missing part is
 // already promised to the preempting task.
-func (n *node) free() machine.Resources { return n.Total.Sub(n.Foreign).Sub(n.used) }
+func (n *node) free() machine.Resources { return n.Total.Sub(n.Foreign).Sub(n.used).Sub(n.kept) }
 
 // keepPermille is the part of the processors and memory per free accelerator that
 // is kept for tasks that need accelerators: half of an even split, because in the
@@ -55,7 +56,7 @@
 }
 
 // open reports whether n takes new tasks.
-func (n *node) open() bool { return n.known && !n.Draining && n.health.admits(n) }
+func (n *node) open() bool { return n.known && !n.Draining && !n.Unreachable && n.health.admits(n) }
 
 // pool indexes the workers of one zone that have, or lack, accelerators.
 type pool struct {
@@ -152,6 +153,7 @@
 	if n.pool == nil {
 		e.poolOf(key).add(n)
 	}
+	e.setDraining(n)
 	n.index()
 	if !wasOpen {
 		before = none
@@ -171,6 +173,7 @@
 	n.health.reset(e, n)
 	n.pool.drop(n)
 	n.known = false
+	e.setDraining(n)
 	e.known--
 	e.addClass(n.class, -1)
 	e.total = e.total.Sub(n.Total)
--- a/placement/tasks.go
+++ b/placement/tasks.go
@@ -30,6 +30,7 @@
 	t.state, t.rejects = taskRunning, 0
 	e.stats.Proposed--
 	e.stats.Running++
+	e.drainSoon = e.drainSoon || e.draining[t.node]
 	if t.job.backoff > 0 {
 		e.stopGang(t.job, "gang_member_failed")
 	}
@@ -113,6 +114,7 @@
 	e.placed[v.ID] = t
 	e.stats.Running++
 	e.hold(t, n, v.Resources, e.clock)
+	e.drainSoon = e.drainSoon || e.draining[n]
 	e.enqueue(j)
 }
 
@@ -148,6 +150,7 @@
 		e.requeue(t)
 		e.stopGang(j, "gang_member_gone")
 	}
+	e.left(t)
 	e.enqueue(j)
 	e.settle(j)
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -16,7 +16,8 @@
 	Total       machine.Resources
 	Foreign     machine.Resources // used by tasks that this engine does not track
 	Preemptible machine.Resources // part of Foreign that preemption for urgent work could free
-	Draining    bool              // takes no new tasks
+	Draining    bool              // takes no new tasks, and gives its tasks up gracefully
+	Unreachable bool              // takes no new tasks, because its rack owner does not reach it
 }
 
 // Assignment places one task on one worker. With Preempt, the rack owner has to
@@ -62,7 +63,7 @@
 	Task   workload.Task
 	Node   string
 	Mode   Mode
-	Reason string // quota_reclaim, gang_member_failed, gang_member_gone or job_failed
+	Reason string // drain, quota_reclaim, gang_member_failed, gang_member_gone or job_failed
 }
 
 // JobState is the state of a job in the engine.
