Explain unreachable workers as unreachable

Cause: the job scheduler passed a worker that its rack owner cannot reach, or whose rack it has not adopted, to the engine as draining, so explain named a planned exit where a host or a rack owner had failed.

Node.Unreachable now has a filter reason of its own, ahead of draining because a silent worker does not confirm a drain either.

Before: the engine test got quarantined on 2 workers in place of unreachable, and the cell test never saw the reason. After: both pass.

--- a/job/drain_test.go
+++ b/job/drain_test.go
@@ -1,9 +1,11 @@
 package job
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
@@ -65,3 +67,25 @@
 	}
 	c.check()
 }
+
+// Guards against a silent worker that is explained as one that leaves as planned.
+func TestExplainCountsUnreachableWorkers(t *testing.T) {
+	c := newCell(t, 2, 2, 2)
+	d := c.daemons[0]
+	first := testJob("first", workload.Service, 4, 4000, 0)
+	c.submit(d, first)
+	c.awaitRunning(d, first, 4)
+	waiting := testJob("waiting", workload.Batch, 1, 4000, time.Millisecond)
+	c.submit(d, waiting)
+	c.workers["a-0"].SetFaults(standin.Faults{Unreachable: true})
+	c.setState("b-1", platform.Leaving)
+	counts := make(map[string]int)
+	eventually(t, "one worker is unreachable and one is draining", func() bool {
+		x, _ := d.sched.Explain(context.Background(), waiting.Team, waiting.ID)
+		clear(counts)
+		for _, r := range x.Reasons {
+			counts[r.Reason] = r.Nodes
+		}
+		return counts["unreachable"] == 1 && counts["draining"] == 1
+	})
+}
--- a/placement/drain_test.go
+++ b/placement/drain_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -105,3 +106,24 @@
 		}
 	}
 }
+
+// Guards against an explanation that calls a worker which cannot be reached
+// draining, and against work that is planned there.
+func TestUnreachableWorkersHaveTheirOwnReason(t *testing.T) {
+	e := cell(3, Config{})
+	drainNode(e, "w0")
+	for _, id := range []string{"w1", "w2"} {
+		n := e.nodes[id].Node
+		n.Unreachable = true
+		e.SetNode(n)
+	}
+	mustSubmit(t, e, batch("j", 1, res(1000, 512)), start)
+	if got := place(e, start); len(got) != 0 {
+		t.Fatalf("placed %+v", got)
+	}
+	x, _ := e.Explain("j")
+	want := []ReasonCount{{"unreachable", 2}, {"draining", 1}}
+	if !slices.Equal(x.Reasons, want) {
+		t.Errorf("got %+v, want %+v", x.Reasons, want)
+	}
+}
--- a/placement/shape.go
+++ b/placement/shape.go
@@ -277,6 +277,8 @@
 	}
 	free := n.free()
 	switch {
+	case n.Unreachable:
+		return "unreachable"
 	case n.Draining:
 		return "draining"
 	case !n.open():
