Keep the refusal of a job of the configuration as its answer

Cause: a sheet job that can never fit was submitted again with every comparison, about once a second, and status answered unknown_job.

The state is not final, because a change can lift it.

--- a/job/reconcile.go
+++ b/job/reconcile.go
@@ -32,6 +32,10 @@
 
 func (sh *shard) reconcile() {
 	submit, cancel := sh.differences(sh.s.cfg.Intentions.Desired(sh.s.cfg.Now()))
+	sh.mu.Lock()
+	submit = sh.dueRefused(submit)
+	cell := sh.cell
+	sh.mu.Unlock()
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, reconcileParallel)
 	each := func(fn func(context.Context) error) {
@@ -46,7 +50,11 @@
 		})
 	}
 	for _, j := range submit {
-		each(func(ctx context.Context) error { return sh.accept(ctx, j, true) })
+		each(func(ctx context.Context) error {
+			err := sh.accept(ctx, j, true)
+			sh.noteAccept(j, cell, err)
+			return err
+		})
 	}
 	for _, id := range cancel {
 		each(func(ctx context.Context) error {
--- a/job/records.go
+++ b/job/records.go
@@ -27,6 +27,9 @@
 	Failed     = "failed"     // final
 	Cancelled  = "cancelled"  // final: no task runs any more
 	Impossible = "impossible" // final: it can never run
+	// Refused is the state of a job of the configuration that is not accepted; it
+	// is tried again when the configuration or the workers change.
+	Refused = "refused"
 )
 
 // record is the body of every record. Fields that a kind does not use are empty.
@@ -95,7 +98,7 @@
 
 func (j *jobState) final() bool { return finalState(j.state) }
 
-func finalState(s string) bool { return s != Accepted && s != Cancelling }
+func finalState(s string) bool { return s != Accepted && s != Cancelling && s != Refused }
 
 // addEnd notes the end of an attempt and reports whether it is new.
 func (j *jobState) addEnd(e taskEnd) bool {
--- a/job/scheduler_serve.go
+++ b/job/scheduler_serve.go
@@ -118,6 +118,9 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	j := sh.jobs[id]
+	if r := sh.refusals[id]; j == nil && r != nil {
+		return r.status(), nil
+	}
 	if j == nil {
 		return nil, toWire(errkind.New(errkind.NotFound, "unknown_job", "job %s is not known", id))
 	}
@@ -142,6 +145,9 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	j := sh.jobs[req.GetJob()]
+	if r := sh.refusals[req.GetJob()]; j == nil && r != nil {
+		return r.explain()
+	}
 	if j == nil {
 		return nil, toWire(errkind.New(errkind.NotFound, "unknown_job", "job %s is not known", req.GetJob()))
 	}
--- a/job/shard.go
+++ b/job/shard.go
@@ -36,9 +36,12 @@
 	racks      map[contract.Key]*rackSession
 	nodes      map[string]contract.Key // rack of a worker
 	recovered  bool
-	probes     int                // admission checks so far
-	unrecorded map[endKey]taskEnd // ends that the log does not hold yet
-	jobEnds    []record           // final states that the log does not hold yet
+	probes     int                  // admission checks so far
+	unrecorded map[endKey]taskEnd   // ends that the log does not hold yet
+	refusals   map[string]*refusal  // by job; the configuration wants these
+	classes    map[string]nodeClass // by worker
+	cell       uint64               // revision of classes
+	jobEnds    []record             // final states that the log does not hold yet
 }
 
 func newShard(ctx context.Context, s *Scheduler, k contract.Key, e contract.Epoch) *shard {
@@ -46,7 +49,7 @@
 		s: s, key: k, epoch: e, ctx: ctx, kick: make(chan struct{}, 1), flush: make(chan struct{}, 1),
 		engine: s.cfg.NewEngine(), jobs: make(map[string]*jobState), flights: make(map[string]*flight),
 		racks: make(map[contract.Key]*rackSession), nodes: make(map[string]contract.Key),
-		unrecorded: make(map[endKey]taskEnd),
+		unrecorded: make(map[endKey]taskEnd), refusals: make(map[string]*refusal), classes: make(map[string]nodeClass),
 	}
 	sh.journal = newJournal(s.cfg.Log, s.writer, sh.apply)
 	return sh
@@ -203,11 +206,13 @@
 // reached take no new tasks.
 func (sh *shard) setNode(rack contract.Key, n *rpc.NodeState, usable bool) {
 	sh.nodes[n.GetId()] = rack
-	sh.engine.SetNode(placement.Node{
+	node := placement.Node{
 		ID: n.GetId(), Rack: string(rack), Zone: zone.Name(rack.Place()),
 		Total: fromAmount(n.GetTotal()), Foreign: fromAmount(n.GetForeign()), Preemptible: fromAmount(n.GetPreemptible()),
 		Draining: n.GetDraining(), Unreachable: n.GetUnreachable() || !usable,
-	})
+	}
+	sh.noteNode(node)
+	sh.engine.SetNode(node)
 }
 
 // setRacks starts a session for each rack of the region.
