Collect reports of a rack only when there is news

Cause: every rack owner collected the states of all workers for every shard each 50 ms, also while nothing changed.

The loop now waits for a change of a task, a worker, the host list or the epoch of a shard, at least ReportEvery after the last pass. Without news it runs once per ReportAgain for unsettled ends; while reservations are held it runs as before, so that they expire in time. News after a quiet period is reported at once, other news after at most 50 ms as before. Deferred deltas and failed or overlapping reports ask for another pass.

Ruled out: a longer ReportEvery, because it delays the end of every task.

--- a/job/rack.go
+++ b/job/rack.go
@@ -37,7 +37,7 @@
 	// later outcomes are reported. Default 300 ms.
 	PlaceWait      time.Duration
 	ReservationTTL time.Duration // of a gang reservation; default 5 s
-	ReportEvery    time.Duration // default 50 ms
+	ReportEvery    time.Duration // least pause between two passes of reports; default 50 ms
 	ReportAgain    time.Duration // repeat of an unsettled end; default 1 s
 	HostsEvery     time.Duration // default 2 s
 	// DeltaBytesPerSecond bounds the capacity deltas of this daemon. Default 2048.
--- a/job/rack_held.go
+++ b/job/rack_held.go
@@ -48,6 +48,7 @@
 		return
 	}
 	h.state = state
+	h.worker.t.changed()
 	if reason != "" {
 		h.reason = reason
 	}
--- a/job/rack_report.go
+++ b/job/rack_report.go
@@ -29,6 +29,7 @@
 		}
 		t.mu.Lock()
 		busy := t.reporting[shard]
+		t.missed[shard] = busy
 		t.mu.Unlock()
 		if busy {
 			continue
@@ -49,6 +50,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reporting[shard] = on
+	if !on && t.missed[shard] {
+		t.changed()
+	}
 }
 
 func (t *rackTenure) reportTo(owner string, req *rpc.ReportRequest) {
@@ -58,6 +62,7 @@
 	reply, err := t.rack.sendReport(ctx, owner, req)
 	if err != nil {
 		t.rack.counts.inc("report_failed", errkind.ReasonOf(err))
+		t.changed()
 		return
 	}
 	t.reported(req.GetShard(), req, reply)
@@ -119,6 +124,9 @@
 			}
 		}
 	}
+	if len(req.Events) == maxReportEvents {
+		t.changed()
+	}
 	sort.Strings(ids)
 	for i := range ids {
 		// Start at another worker each time, so that the budget serves all.
@@ -133,6 +141,7 @@
 		if !t.rack.budget.AllowN(now, proto.Size(n)) {
 			t.rack.counts.inc("delta_deferred", "byte_budget")
 			t.deltaStart = (i + t.deltaStart) % len(ids)
+			t.changed()
 			break
 		}
 		req.Nodes = append(req.Nodes, n)
--- a/job/rack_serve.go
+++ b/job/rack_serve.go
@@ -201,6 +201,7 @@
 		return
 	}
 	h.stopMode = machine.ModeStop
+	t.changed()
 	if e.GetReason() != "" {
 		h.stopMode = machine.StopMode(e.GetReason())
 	}
--- a/job/rack_tenure.go
+++ b/job/rack_tenure.go
@@ -22,6 +22,7 @@
 	ctx   context.Context
 
 	workersDone sync.WaitGroup
+	news        chan struct{} // wakes run: something that reports tell may have changed
 
 	mu           sync.Mutex
 	closed       bool
@@ -31,6 +32,7 @@
 	reservations map[string]*reservation
 	revision     uint64          // of the last report or adoption
 	reporting    map[string]bool // shards with a report under way
+	missed       map[string]bool // shards passed over because of that
 	deltaStart   int             // worker at which the next capacity delta starts
 }
 
@@ -52,7 +54,7 @@
 	return &rackTenure{
 		rack: r, key: k, epoch: e, ctx: ctx,
 		workers: make(map[string]*worker), shards: make(map[string]*shardView), reservations: make(map[string]*reservation),
-		reporting: make(map[string]bool),
+		reporting: make(map[string]bool), missed: make(map[string]bool), news: make(chan struct{}, 1),
 	}
 }
 
@@ -96,6 +98,7 @@
 		}
 		w.leaving = h.State != platform.Live
 	}
+	t.changed() // the configuration may have changed what drains, too
 	for id, w := range t.workers {
 		if !seen[id] {
 			w.leaving = true
@@ -111,6 +114,7 @@
 func (t *rackTenure) run() {
 	var reports sync.WaitGroup
 	for sleep(t.ctx, t.rack.cfg.ReportEvery) {
+		t.awaitNews()
 		t.expireReservations()
 		t.report(&reports)
 	}
@@ -120,6 +124,27 @@
 	t.mu.Unlock()
 }
 
+// changed asks for a report, because something that reports tell may have changed.
+func (t *rackTenure) changed() { wake(t.news) }
+
+// awaitNews waits until something has changed or unsettled ends are repeated.
+// Reservations expire between, so it does not wait while there are any.
+func (t *rackTenure) awaitNews() {
+	t.mu.Lock()
+	reserved := len(t.reservations) > 0
+	t.mu.Unlock()
+	if reserved {
+		return
+	}
+	timer := time.NewTimer(t.rack.cfg.ReportAgain)
+	defer timer.Stop()
+	select {
+	case <-t.news:
+	case <-timer.C:
+	case <-t.ctx.Done():
+	}
+}
+
 func (t *rackTenure) expireReservations() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -159,6 +184,7 @@
 	}
 	if c.GetShardEpoch() > v.epoch {
 		v.epoch, v.number, v.sent = c.GetShardEpoch(), 0, make(map[string]*rpc.NodeState)
+		t.changed()
 		for id, r := range t.reservations {
 			if r.shard == c.GetShard() {
 				t.releaseLocked(id)
@@ -210,6 +236,7 @@
 		}
 	}
 	w.tasks[ref] = h
+	t.changed()
 	return h, ""
 }
 
--- a/job/rack_worker.go
+++ b/job/rack_worker.go
@@ -102,6 +102,7 @@
 func (w *worker) forget(h *held) {
 	if w.tasks[h.ref()] == h {
 		delete(w.tasks, h.ref())
+		w.t.changed()
 	}
 }
 
@@ -209,6 +210,9 @@
 	w.t.rack.counts.inc("renewal_failed", errkind.ReasonOf(err))
 	w.t.mu.Lock()
 	defer w.t.mu.Unlock()
+	if w.reachable {
+		w.t.changed()
+	}
 	w.reachable = false
 	if w.lapsed(w.t.rack.cfg.Now()) {
 		for _, h := range w.tasks {
@@ -225,6 +229,9 @@
 func (w *worker) adopt(r machine.RenewReply) (acks []machine.TaskRef, stops []*held) {
 	w.t.mu.Lock()
 	defer w.t.mu.Unlock()
+	if !w.reachable || w.capacity != r.Capacity {
+		w.t.changed()
+	}
 	w.reached, w.reachable, w.capacity = true, true, r.Capacity
 	now := w.t.rack.cfg.Now()
 	listed := make(map[machine.TaskRef]bool, len(r.Tasks))
@@ -252,6 +259,7 @@
 			acks = append(acks, ref)
 		case h.stopMode == machine.ModeResume && h.state == string(workload.Running):
 			h.stopMode = ""
+			w.t.changed()
 		case h.holds() && h.stopMode != "" && h.state != string(workload.Throttled):
 			stops = append(stops, h)
 		}
