--- /dev/null
+++ b/job/example_test.go
@@ -0,0 +1,101 @@
+package job_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/sassafraslb/sassafraslb/config"
+	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/standin"
+	"github.com/sassafraslb/sassafraslb/job"
+	"github.com/sassafraslb/sassafraslb/link"
+	"github.com/sassafraslb/sassafraslb/machine"
+	"github.com/sassafraslb/sassafraslb/placement"
+	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/workload"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// single is the only daemon of its region and owns every key.
+type single struct{ keys []contract.Key }
+
+func (single) Owner(contract.Key) (string, contract.Epoch, bool) { return "d", 1, true }
+func (single) Tenure(contract.Key) (contract.Tenure, bool) {
+	return contract.Tenure{Epoch: 1, Deadline: time.Now().Add(time.Second)}, true
+}
+func (s single) Held() []contract.Key { return s.keys }
+func (s single) Watch(fn func(contract.Change)) func() {
+	for _, k := range s.keys {
+		fn(contract.Change{Key: k, Epoch: 1, Owner: "d", Mine: true})
+	}
+	return func() {}
+}
+func (single) Self() link.Member      { return link.Member{ID: "d"} }
+func (single) Members() []link.Member { return []link.Member{{ID: "d"}} }
+func (single) Conn(context.Context, string) (drpc.Conn, error) {
+	return nil, errkind.New(errkind.Unreachable, "no_peer", "there is no other daemon")
+}
+
+// hosts is a fixed host list.
+type hosts []platform.Host
+
+func (h hosts) Hosts(context.Context) ([]platform.Host, error) { return h, nil }
+
+// noSheet is a configuration with one team and no jobs of its own.
+type noSheet struct{}
+
+func (noSheet) Desired(time.Time) []workload.Job { return nil }
+func (noSheet) Has(team string) (config.Team, bool) {
+	return config.Team{Name: team, Home: "lombardy", Weight: 1}, team == "valuations"
+}
+
+func Example() {
+	size := machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768}
+	worker := standin.NewWorker(standin.WorkerConfig{ID: "w1", Capacity: size})
+	defer worker.Close()
+	workerServer, logServer := httptest.NewServer(worker), httptest.NewServer(standin.NewLog(standin.LogConfig{}))
+	defer workerServer.Close()
+	defer logServer.Close()
+	list := hosts{{ID: "w1", Kind: platform.WorkerHost, Address: workerServer.Listener.Addr().String(),
+		Zone: "lom-bergamo", Rack: "r1", State: platform.Live, Resources: size}}
+	topology, err := zone.NewTopology(map[zone.Region][]zone.Name{"lombardy": {"lom-bergamo"}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	self := single{[]contract.Key{contract.RackKey("lom-bergamo", "r1"), contract.JobsKey("lombardy", 0)}}
+	engine := func() job.Engine { return placement.New(placement.Config{}) }
+	rack := job.NewRack(job.RackConfig{Ownership: self, Peers: self, Hosts: list, Topology: topology,
+		Region: "lombardy", NewEngine: engine, Shards: 1})
+	scheduler := job.NewScheduler(job.SchedulerConfig{Ownership: self, Peers: self, Hosts: list, Topology: topology,
+		Region: "lombardy", NewEngine: engine, Shards: 1, Intentions: noSheet{},
+		Log: platform.NewLogClient(platform.ClientConfig{BaseURL: logServer.URL})})
+	job.Join(rack, scheduler)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go func() { _ = rack.Run(ctx); done <- struct{}{} }()
+	go func() { _ = scheduler.Run(ctx); done <- struct{}{} }()
+
+	lots := workload.Job{ID: "lots", Team: "valuations", Kind: workload.Batch, Count: 3, Priority: workload.Normal,
+		Resources: machine.Resources{CPUMilli: 1_000, MemoryMiB: 512}, RunTime: 20 * time.Millisecond}
+	status, err := scheduler.Submit(ctx, lots)
+	for ; err != nil; status, err = scheduler.Submit(ctx, lots) {
+		time.Sleep(20 * time.Millisecond) // the shard reads its records first
+	}
+	for !status.Final() {
+		time.Sleep(20 * time.Millisecond)
+		if s, err := scheduler.Status(ctx, lots.Team, lots.ID); err == nil {
+			status = s
+		}
+	}
+	fmt.Println(status.State, status.Finished)
+	cancel()
+	<-done
+	<-done
+	// Output: finished 3
+}
