--- a/job/rack_worker.go
+++ b/job/rack_worker.go
@@ -66,6 +66,10 @@
 	return time.Duration(float64(w.t.rack.cfg.Lease) * (1 + w.t.rack.cfg.Drift))
 }
 
+// closing reports whether the worker takes no new tasks, because the host list
+// or the configuration takes it out of use.
+func (w *worker) closing() bool { return w.leaving || w.t.rack.cfg.Draining(w.host) }
+
 func (w *worker) stop() { w.cancel() }
 
 func (w *worker) lapsed(now time.Time) bool { return now.After(w.lapse) }
@@ -98,6 +102,7 @@
 func (w *worker) forget(h *held) {
 	if w.tasks[h.ref()] == h {
 		delete(w.tasks, h.ref())
+		w.t.changed()
 	}
 }
 
@@ -205,6 +210,9 @@
 	w.t.rack.counts.inc("renewal_failed", errkind.ReasonOf(err))
 	w.t.mu.Lock()
 	defer w.t.mu.Unlock()
+	if w.reachable {
+		w.t.changed()
+	}
 	w.reachable = false
 	if w.lapsed(w.t.rack.cfg.Now()) {
 		for _, h := range w.tasks {
@@ -221,6 +229,9 @@
 func (w *worker) adopt(r machine.RenewReply) (acks []machine.TaskRef, stops []*held) {
 	w.t.mu.Lock()
 	defer w.t.mu.Unlock()
+	if !w.reachable || w.capacity != r.Capacity {
+		w.t.changed()
+	}
 	w.reached, w.reachable, w.capacity = true, true, r.Capacity
 	now := w.t.rack.cfg.Now()
 	listed := make(map[machine.TaskRef]bool, len(r.Tasks))
@@ -248,6 +259,7 @@
 			acks = append(acks, ref)
 		case h.stopMode == machine.ModeResume && h.state == string(workload.Running):
 			h.stopMode = ""
+			w.t.changed()
 		case h.holds() && h.stopMode != "" && h.state != string(workload.Throttled):
 			stops = append(stops, h)
 		}
@@ -302,6 +314,10 @@
 	stopped := h.state != statePending || h.stopMode != ""
 	if stopped {
 		h.set(stateNotStarted, "stopped_before_start")
+	} else if w.closing() {
+		// The worker began to leave while the start was queued.
+		stopped = true
+		h.set(stateNotStarted, "worker_leaving")
 	}
 	h.sent = true
 	w.t.mu.Unlock()
