--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, test, lint, demo, bench, soak, generate. Each installs what it
+# Targets: build, test, lint, demo, bench, bench-compare, soak, generate. Each installs what it
 # needs through the Go module proxy; no other download is made.
 
 GO ?= go
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -167,7 +167,7 @@
 
 // BenchmarkFoldSmallChange gives the processor time of one change of one team, by number of intentions.
 func BenchmarkFoldSmallChange(b *testing.B) {
-	for _, n := range []int{100, 10_000} {
+	for _, n := range []int{100, 1000, 10_000} {
 		b.Run(fmt.Sprintf("intentions=%d", n), func(b *testing.B) {
 			im := bigState(n)
 			for b.Loop() {
--- a/contract/capacity_bench_test.go
+++ b/contract/capacity_bench_test.go
@@ -28,17 +28,17 @@
 	return platform.Record{Offset: at, Data: data}
 }
 
-// ownedBook returns a Book in which 24 daemons own the given number of keys.
-func ownedBook(b *testing.B, keys int) (*Book, platform.Offset) {
+// ownedBook returns a Book in which daemons, the electorate of all, own keys.
+func ownedBook(b *testing.B, keys, daemons int) (*Book, platform.Offset) {
 	book, at := NewBook(0), platform.Offset(0)
-	electorate := make([]string, 24)
+	electorate := make([]string, daemons)
 	for i := range electorate {
 		electorate[i] = fmt.Sprintf("daemon-%02d", i)
 		book.Apply(controlRecord(b, at, kindJoin, Daemon{ID: electorate[i], Incarnation: 1, Address: "10.0.0.1:9080", Zone: "zone-01", Region: "region-1"}))
 		at++
 	}
 	for i := range keys {
-		book.Apply(controlRecord(b, at, kindClaim, claimRecord{Daemon: electorate[i%24], Incarnation: 1, Electorate: electorate, Keys: []claimKey{{Key: benchKey(i)}}}))
+		book.Apply(controlRecord(b, at, kindClaim, claimRecord{Daemon: electorate[i%daemons], Incarnation: 1, Electorate: electorate, Keys: []claimKey{{Key: benchKey(i)}}}))
 		at++
 	}
 	return book, at
@@ -53,7 +53,7 @@
 	for _, keys := range []int{56, 500, 1740, 5000} {
 		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
 			before := liveBytes()
-			book, at := ownedBook(b, keys)
+			book, at := ownedBook(b, keys, 24)
 			memory := liveBytes() - before
 			parts, err := book.Snapshot()
 			if err != nil {
@@ -89,3 +89,31 @@
 		})
 	}
 }
+
+// BenchmarkElectorate gives the memory and the snapshot bytes of a key, by the
+// number of daemons in its electorate.
+func BenchmarkElectorate(b *testing.B) {
+	for _, daemons := range []int{8, 24, 72} {
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+			const keys = 500
+			var memory, snapshot float64
+			for b.Loop() {
+				before := liveBytes()
+				book, _ := ownedBook(b, keys, daemons)
+				memory = (liveBytes() - before) / keys
+				parts, err := book.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				snapshot = 0
+				for _, p := range parts {
+					snapshot += float64(len(p.Body)) / keys
+				}
+				runtime.KeepAlive(book)
+			}
+			b.ReportMetric(memory, "memory-B/key")
+			b.ReportMetric(snapshot, "snapshot-B/key")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/internal/benchtable/table.go
+++ b/internal/benchtable/table.go
@@ -81,7 +81,7 @@
 	}
 	fmt.Fprintln(w, "\nPACKING and decisions of placement\tscheduler\tof volume bound\tallocated while work waits %\tmean wait ms\turgent p99 ms\tdecisions/s\tp99 us")
 	for _, mix := range mixes {
-		for _, who := range []string{"engine", "firstfit", "random", "spread"} {
+		for _, who := range []string{"engine", "engine-declared", "firstfit", "random", "spread"} {
 			b := "BenchmarkMixes/" + mix + "/" + who
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", mix, who, f.get(b, "packing", "%.3f"), f.get(b, "allocated-%", "%.1f"),
 				f.get(b, "wait-ms", "%.0f"), f.get(b, "urgent-p99-ms", "%.0f"), f.get(b, "decisions/s", "%.0f"), f.get(b, "p99-us", "%.1f"))
--- a/internal/benchtable/targets.go
+++ b/internal/benchtable/targets.go
@@ -19,7 +19,10 @@
 		ts = append(ts,
 			target{"decisions/" + m, b, "decisions/s", 5000, true},
 			target{"decision-p99/" + m, b, "p99-us", 5000, false},
-			target{"packing/" + m, b, "packing", 0.90, true})
+			target{"packing/" + m, b, "packing", 0.90, true},
+			// The volume bound is worked out from declared sizes. A scheduler that learns
+			// smaller sizes can pass it, so the bound is strict only without learning.
+			target{"packing-declared/" + m, b + "-declared", "packing", 0.90, true})
 	}
 	const control = "BenchmarkControlCost"
 	return append(ts,
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -13,7 +13,7 @@
 // BenchmarkCancelWave cancels waves of waiting jobs. The cost per job and the
 // appends per job must not grow with the wave.
 func BenchmarkCancelWave(b *testing.B) {
-	for _, wave := range []int{1000, 10_000} {
+	for _, wave := range []int{1000, 3000, 10_000} {
 		b.Run(fmt.Sprint(wave), func(b *testing.B) {
 			for range b.N {
 				b.StopTimer()
