Measure the processor time of a call for the capacity page

Cause: the page had no figure for the roles of entry and executor owner. Ruled out: splitting the time between the two daemons; they share one process in the benchmark, so the figure also holds the stand-in and the caller's side.

--- a/request/capacity_bench_test.go
+++ b/request/capacity_bench_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"golang.org/x/sys/unix"
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/standin"
 )
 
 func liveBytes() float64 {
@@ -57,3 +60,38 @@
 		})
 	}
 }
+
+// BenchmarkCall gives the processor time of a call that enters at one daemon and
+// whose executor group, and recorder for a nudge, is at another, by the size of
+// the body. It covers the caller's side, both daemons and the executor stand-in.
+func BenchmarkCall(b *testing.B) {
+	for _, class := range []Class{Valuation, Nudge} {
+		for _, size := range []int{100, 10_000, 100_000} {
+			b.Run(fmt.Sprintf("class=%s/body=%d", class, size), func(b *testing.B) {
+				c := newCell(b)
+				c.executor("w1", "a", standin.ExecutorConfig{Slots: 8, ServiceTime: time.Millisecond})
+				d1, d2 := c.daemon("d1", "w1", nil), c.daemon("d2", "w1", nil)
+				c.own("d2", contract.ExecKey("w1", "a"))
+				c.ownIDs("west", "d2")
+				c.ready(8, d1, d2)
+				body := strings.Repeat("x", size)
+				used, calls := cpuSeconds(b), 0
+				for b.Loop() {
+					if _, err := do(d1, class, ulid.Make().String(), body, time.Minute); err != nil {
+						b.Fatal(err)
+					}
+					calls++
+				}
+				b.ReportMetric(1e6*(cpuSeconds(b)-used)/float64(calls), "cpu-us/call")
+			})
+		}
+	}
+}
+
+func cpuSeconds(tb testing.TB) float64 {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		tb.Fatal(err)
+	}
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e9
+}
