--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -251,7 +251,9 @@
 
 // newEngine returns the placement policy of one job shard.
 func newEngine(set *settings.Settings) func() job.Engine {
-	return func() job.Engine { return placement.New(placement.Config{SizeMargin: nonZero(set.Tasks.Margin)}) }
+	return func() job.Engine {
+		return placement.New(placement.Config{DeclaredSizes: !set.Tasks.LearnSizes, SizeMargin: nonZero(set.Tasks.Margin)})
+	}
 }
 
 func provideRack(i do.Injector) (*job.Rack, error) {
--- a/placement/config.go
+++ b/placement/config.go
@@ -42,6 +42,10 @@
 	// NoLearning keeps declared sizes and run times. Learning is on by default
 	// because it raises packing (TestLearningBeatsDeclaration).
 	NoLearning bool
+	// DeclaredSizes keeps declared sizes; run times are still learned. A learned
+	// size below the declaration is safe only where something stops or throttles a
+	// running task that outgrows it.
+	DeclaredSizes bool
 	// MinSamples is the number of reports before a family's estimate is used. Default 20.
 	MinSamples int
 	// SizePercentile and SizeMargin give the learned size: the percentile of the
--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -389,3 +389,30 @@
 		t.Fatal("learning does not pack better than the declarations")
 	}
 }
+
+// Guards against a host packed by sizes below the declaration where the embedder
+// has nothing that stops a task that outgrows them.
+func TestDeclaredSizesAreKept(t *testing.T) {
+	need := machine.Resources{CPUMilli: 4000, MemoryMiB: 4096}
+	for _, declared := range []bool{false, true} {
+		e := cell(1, Config{DeclaredSizes: declared, MinSamples: 5})
+		now, shrunk := start, false
+		for i := range 30 {
+			j := workload.Job{ID: fmt.Sprintf("j%d", i), Team: "t", Family: "f", Kind: workload.Batch, Count: 1, Resources: need}
+			if err := e.Submit(j, now); err != nil {
+				t.Fatal(err)
+			}
+			for _, p := range e.Decide(now, 10) {
+				a := p.Assign[0]
+				shrunk = shrunk || a.Task.Resources != need
+				e.Commit(a.Task.ID, a.Task.Attempt)
+				e.Finish(a.Task.ID, a.Task.Attempt, Result{State: workload.Finished, Ran: time.Second,
+					Used: machine.Resources{CPUMilli: 1000, MemoryMiB: 1024}}, now.Add(time.Second))
+			}
+			now = now.Add(2 * time.Second)
+		}
+		if shrunk == declared {
+			t.Errorf("DeclaredSizes %t: a task was placed with less than it declared: %t", declared, shrunk)
+		}
+	}
+}
--- a/placement/shape.go
+++ b/placement/shape.go
@@ -75,7 +75,7 @@
 func (e *Engine) estimate(s *shape) {
 	s.need, s.run = s.declared, s.runTime
 	defer func() { s.borrows = s.kind == workload.Batch && s.run > 0 && s.run <= e.cfg.LendFor }()
-	if s.fam == nil || e.cfg.NoLearning {
+	if s.fam == nil || e.cfg.NoLearning || e.cfg.DeclaredSizes {
 		return
 	}
 	if run, ok := s.fam.runTime(&e.cfg, s.runTime); ok {
--- a/settings/page_test.go
+++ b/settings/page_test.go
@@ -46,6 +46,8 @@
 			defaults(f, path+".", out)
 		case isDuration:
 			out[path] = d.Std().String()
+		case f.Kind() == reflect.Bool:
+			out[path] = fmt.Sprint(f.Bool())
 		case f.IsZero():
 			out[path] = "none"
 		default:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,9 +51,12 @@
 
 // Tasks holds the times of leases on workers.
 type Tasks struct {
-	Lease  Duration `json:"lease"`
-	Renew  Duration `json:"renew"`
-	Margin float64  `json:"learned_margin"` // fraction added to learned sizes
+	Lease Duration `json:"lease"`
+	Renew Duration `json:"renew"`
+	// LearnSizes packs by learned sizes instead of declared ones. Nothing stops a
+	// running task that outgrows its learned size, so it is off by default.
+	LearnSizes bool    `json:"learn_sizes"`
+	Margin     float64 `json:"learned_margin"` // fraction added to learned sizes
 }
 
 // Requests holds the limits of the request path.
