Measure the time until a change is in force

Cause: the target of 4 s was shown only as counts of reads. Ruled out: the gauge of the version alone, which tells no time.

--- a/config/metrics.go
+++ b/config/metrics.go
@@ -11,6 +11,7 @@
 	reads   prometheus.Counter
 	bytes   prometheus.Counter
 	version prometheus.Gauge
+	delay   prometheus.Histogram // seconds from submission to force on this daemon
 }
 
 func newStoreMetrics(r prometheus.Registerer) (storeMetrics, error) {
@@ -30,8 +31,12 @@
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sassafraslb_config_version", Help: "Version of the configuration in force.",
 		}),
+		delay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sassafraslb_config_in_force_seconds", Help: "Time from the submission of a change until it is in force on this daemon.",
+			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 2, 4, 8, 30, 120},
+		}),
 	}
-	return m, register(r, m.records, m.images, m.reads, m.bytes, m.version)
+	return m, register(r, m.records, m.images, m.reads, m.bytes, m.version, m.delay)
 }
 
 type publisherMetrics struct {
--- a/config/publisher_test.go
+++ b/config/publisher_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"github.com/sassafraslb/sassafraslb/errkind"
 )
 
@@ -158,3 +160,26 @@
 	wg.Wait()
 	return errs
 }
+
+// Guards against a time to force that is not measured on every daemon, and
+// against history read at a start being counted as slow changes.
+func TestTimeToForceIsMeasured(t *testing.T) {
+	l := newFakeLog()
+	a, b := startDaemon(t, l, nil).awaitReady(t), startDaemon(t, l, nil).awaitReady(t)
+	res := a.submit(t, proposal("1", 0, Strict, teamOp("a", 4)))
+	b.awaitVersion(t, res.Version)
+	late := startDaemon(t, l, nil).awaitReady(t)
+	late.awaitVersion(t, res.Version)
+	for name, c := range map[string]struct {
+		d    *daemon
+		want uint64
+	}{"publisher": {a, 1}, "reader": {b, 1}, "late start": {late, 0}} {
+		var m dto.Metric
+		if err := c.d.metrics.delay.Write(&m); err != nil {
+			t.Fatal(err)
+		}
+		if got := m.GetHistogram().GetSampleCount(); got != c.want {
+			t.Errorf("%s: %d changes measured, want %d", name, got, c.want)
+		}
+	}
+}
--- a/config/store.go
+++ b/config/store.go
@@ -202,6 +202,10 @@
 		s.cfg.Logger.Warn().Str("event", "config_record_ignored").Uint64("offset", uint64(r.Offset)).Err(v.ignored).Send()
 	case v.accepted:
 		s.snapshot.bytes += int64(len(r.Data))
+		if s.ready {
+			// Records read before the store is ready are history, not news.
+			s.observeDelayLocked()
+		}
 		s.publishLocked()
 	case len(v.rec.Parts) > 0:
 		s.settleLocked(v.rec.Parts[0].ID)
@@ -209,6 +213,14 @@
 	return nil
 }
 
+// observeDelayLocked notes how long the newest change took to get here. The
+// clocks of the publisher and of this daemon may differ.
+func (s *Store) observeDelayLocked() {
+	if n := len(s.im.History); n > 0 {
+		s.metrics.delay.Observe(max(0, s.cfg.Now().Sub(s.im.History[n-1].At).Seconds()))
+	}
+}
+
 // noteSnapshot remembers the newest complete snapshot of the log.
 func (s *Store) noteSnapshot(r platform.Record) {
 	if im, head, ok := s.parts.add(r.Data); ok && im.Next >= s.snapshot.next {
--- /dev/null
+++ b/internal/cluster/inforce_bench_test.go
@@ -0,0 +1,103 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/sassafraslb/sassafraslb/config"
+	"github.com/sassafraslb/sassafraslb/daemon"
+	"github.com/sassafraslb/sassafraslb/machine"
+	"github.com/sassafraslb/sassafraslb/zone"
+)
+
+// targetInForce is the time from the acceptance of a change until every daemon acts on it.
+const targetInForce = 4 * time.Second
+
+// BenchmarkInForce publishes changes through daemons of both regions in turn and
+// measures the time from acceptance until all eight daemons have the version.
+func BenchmarkInForce(b *testing.B) {
+	bin, err := filepath.Abs("../../bin")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	c, err := Start(ctx, Options{
+		Bin: bin, Dir: b.TempDir(),
+		Regions:   map[zone.Region][]zone.Name{"lombardy": {"lom-bergamo", "lom-monza"}, "veneto": {"ven-treviso"}},
+		LogRegion: "lombardy", TimeZone: "Europe/Rome", Daemons: eightDaemons, Workers: 1, Executors: 1,
+		Capacity: machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768}, ServiceTime: 10 * time.Millisecond,
+		LinkDelay: 8 * time.Millisecond,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	for _, n := range c.Daemons {
+		if err := c.Ready(ctx, n); err != nil {
+			b.Fatal(err)
+		}
+	}
+	h := hdrhistogram.New(1, targetInForce.Microseconds()*10, 3)
+	link := c.LinkBytes()
+	start := time.Now()
+	for i := range b.N {
+		took, err := c.changeInForce(ctx, c.Daemons[i%len(c.Daemons)], i)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := h.RecordValue(took.Microseconds()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(h.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(h.Max())/1000, "max-ms")
+	b.ReportMetric(float64(h.Max())/float64(targetInForce.Microseconds()), "max/target")
+	b.ReportMetric(float64(c.LinkBytes()-link)/float64(b.N), "region-link-B/change")
+	b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "changes/s")
+}
+
+// changeInForce publishes one change through n and returns the time from its
+// acceptance until every daemon has confirmed it.
+func (c *Cluster) changeInForce(ctx context.Context, n *Node, i int) (time.Duration, error) {
+	change := daemon.ChangeBody{ID: ulid.Make().String(), Mode: "merge", By: "bench", Ops: []config.Op{
+		{Team: &config.Team{Name: fmt.Sprintf("team-%d", i), Home: "lombardy", Weight: 1 + i%9}},
+	}}
+	var shown struct {
+		Version uint64 `json:"version"`
+	}
+	if err := c.Send(ctx, http.MethodGet, n.URL()+"/v1/config", nil, &shown); err != nil {
+		return 0, err
+	}
+	change.Base = shown.Version
+	var res daemon.ChangeResult
+	if err := c.Send(ctx, http.MethodPost, n.URL()+"/v1/config/changes", change, &res); err != nil {
+		return 0, err
+	}
+	accepted := time.Now()
+	for _, d := range c.Daemons {
+		err := Poll(ctx, "the change at "+d.ID, func(ctx context.Context) error {
+			var got struct {
+				Version uint64 `json:"version"`
+			}
+			if err := c.Send(ctx, http.MethodGet, d.URL()+"/v1/config", nil, &got); err != nil {
+				return err
+			}
+			if got.Version < res.Version {
+				return fmt.Errorf("version %d, want %d", got.Version, res.Version)
+			}
+			return nil
+		})
+		if err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(accepted), nil
+}
