--- a/internal/cluster/control_bench_test.go
+++ b/internal/cluster/control_bench_test.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/daemon"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // The targets for control, per daemon.
@@ -21,33 +19,13 @@
 	measureFor         = 10 * time.Second
 )
 
-var eightDaemons = []zone.Name{
-	"lom-bergamo", "lom-monza", "lom-bergamo", "lom-monza", "lom-bergamo", "ven-treviso", "ven-treviso", "ven-treviso",
-}
-
 // controlFigures are what a daemon spent since it started.
 type controlFigures struct{ sent, received, cross, cpu, memory float64 }
 
 // BenchmarkControlCost measures what eight daemons with 48 workers and 48
 // executors spend on control while services run and nothing changes.
 func BenchmarkControlCost(b *testing.B) {
-	bin, err := filepath.Abs("../../bin")
-	if err != nil {
-		b.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
-	defer cancel()
-	c, err := Start(ctx, Options{
-		Bin: bin, Dir: b.TempDir(),
-		Regions:   map[zone.Region][]zone.Name{"lombardy": {"lom-bergamo", "lom-monza"}, "veneto": {"ven-treviso"}},
-		LogRegion: "lombardy", TimeZone: "Europe/Rome", Daemons: eightDaemons, Workers: 16, Executors: 16,
-		Capacity: machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768}, ServiceTime: 10 * time.Millisecond,
-		LinkDelay: 8 * time.Millisecond,
-	})
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer c.Close()
+	ctx, c := startBench(b, 16, 16)
 	for _, n := range []*Node{c.Daemons[0], c.Daemons[7]} {
 		if err := c.Owned(ctx, n); err != nil {
 			b.Fatal(err)
--- a/internal/cluster/inforce_bench_test.go
+++ b/internal/cluster/inforce_bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -13,8 +12,6 @@
 
 	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/daemon"
-	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // targetInForce is the time from the acceptance of a change until every daemon acts on it.
@@ -23,23 +20,7 @@
 // BenchmarkInForce publishes changes through daemons of both regions in turn and
 // measures the time from acceptance until all eight daemons have the version.
 func BenchmarkInForce(b *testing.B) {
-	bin, err := filepath.Abs("../../bin")
-	if err != nil {
-		b.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
-	defer cancel()
-	c, err := Start(ctx, Options{
-		Bin: bin, Dir: b.TempDir(),
-		Regions:   map[zone.Region][]zone.Name{"lombardy": {"lom-bergamo", "lom-monza"}, "veneto": {"ven-treviso"}},
-		LogRegion: "lombardy", TimeZone: "Europe/Rome", Daemons: eightDaemons, Workers: 1, Executors: 1,
-		Capacity: machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768}, ServiceTime: 10 * time.Millisecond,
-		LinkDelay: 8 * time.Millisecond,
-	})
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer c.Close()
+	ctx, c := startBench(b, 1, 1)
 	for _, n := range c.Daemons {
 		if err := c.Ready(ctx, n); err != nil {
 			b.Fatal(err)
--- a/internal/cluster/takeover_bench_test.go
+++ b/internal/cluster/takeover_bench_test.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"path/filepath"
 	"testing"
 	"time"
 
-	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/platform"
-	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // targetTakeover is the time from the death of an owner until its keys are served again.
@@ -19,22 +16,7 @@
 // measures the time until other daemons may act for all their keys. Run it with
 // -benchtime 3x: eight daemons last for three deaths in one region.
 func BenchmarkTakeover(b *testing.B) {
-	bin, err := filepath.Abs("../../bin")
-	if err != nil {
-		b.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
-	defer cancel()
-	c, err := Start(ctx, Options{
-		Bin: bin, Dir: b.TempDir(),
-		Regions:   map[zone.Region][]zone.Name{"lombardy": {"lom-bergamo", "lom-monza"}, "veneto": {"ven-treviso"}},
-		LogRegion: "lombardy", TimeZone: "Europe/Rome", Daemons: eightDaemons, Workers: 8, Executors: 4,
-		Capacity: machine.Resources{CPUMilli: 16_000, MemoryMiB: 32_768}, ServiceTime: 10 * time.Millisecond,
-	})
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer c.Close()
+	ctx, c := startBench(b, 8, 4)
 	if err := c.Owned(ctx, c.Daemons[0]); err != nil {
 		b.Fatal(err)
 	}
