Let a submit be repeated while its job scheduler reads the newest configuration

Ruled out: sending the configuration version with every call; the entry can only route a team that it knows, so an unknown team at the job scheduler is always a matter of time. Before: bad_input. After: not_ready team_not_yet_known; the test failed first. Conclusion: the client repeats it by itself.

--- a/job/cell_test.go
+++ b/job/cell_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +54,8 @@
 type intentions struct {
 	mu   sync.Mutex
 	jobs []workload.Job
+
+	asked atomic.Int32 // for entryOnly
 }
 
 func (i *intentions) set(jobs ...workload.Job) {
@@ -67,7 +70,14 @@
 	return i.jobs
 }
 
+// entryOnly is a team that is known to the first daemon that asks, the entry, and
+// not yet to the job scheduler.
+const entryOnly = "entry-only"
+
 func (i *intentions) Has(team string) (config.Team, bool) {
+	if team == entryOnly && i.asked.Add(1) > 1 {
+		return config.Team{}, false
+	}
 	return config.Team{Name: team, Home: "north", Quota: machine.Resources{CPUMilli: 1e9, MemoryMiB: 1e9, Accelerators: 1e6}, Weight: 1}, team != "nobody"
 }
 
--- a/job/refusal_test.go
+++ b/job/refusal_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/placement"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
@@ -86,3 +87,17 @@
 	c.awaitState(d, huge, Accepted)
 	c.wants.set()
 }
+
+// Guards against "bad input, never retry" for a team that the entry knows and
+// whose job scheduler has only not read the newest configuration yet.
+func TestTeamNotYetKnownIsRetryable(t *testing.T) {
+	c := newCell(t, 2, 1, 2)
+	entry, owner := c.daemons[0], c.daemons[1]
+	c.submit(owner, testJob("first", workload.Batch, 1, 100, time.Millisecond))
+	j := testJob("second", workload.Batch, 1, 100, time.Millisecond)
+	j.Team = entryOnly
+	_, err := entry.sched.Submit(context.Background(), j)
+	if errkind.Of(err) != errkind.NotReady || errkind.AnswerOf(err).Retry != errkind.RetryBackoff {
+		t.Errorf("got %v, want a refusal that may be retried", err)
+	}
+}
--- a/job/scheduler_serve.go
+++ b/job/scheduler_serve.go
@@ -36,7 +36,8 @@
 	}
 	team, ok := sh.s.cfg.Intentions.Has(j.Team)
 	if !ok {
-		return errkind.New(errkind.BadInput, "unknown_team", "team %s is not configured", j.Team)
+		// The entry knows the team, so this daemon has not read the newest configuration yet.
+		return errkind.New(errkind.NotReady, "team_not_yet_known", "team %s is not in the configuration of its job scheduler yet", j.Team)
 	}
 	if want := ShardOf(team.Home, j.Team, sh.s.cfg.Shards); want != sh.key {
 		return errkind.New(errkind.NotOwner, "other_shard", "team %s belongs to %s", j.Team, want)
