Never say "not run" of an id because this daemon does not know the customer

Cause: reading the answers of the soak: a repeat of a nudge through a daemon with an older configuration was answered not_found, outcome not_run, although the first call with that id may have run. Ruled out: asking the recorder without knowing the customer's home region; keeping not_found while the log is readable, since a customer may have been removed between the calls. Before: not_found. After: outcome_unknown with the reason unknown_customer for ids given by the caller; ids minted by the entry keep not_found. Conclusion: a mistyped customer with an own id costs the caller the retries of an unknown outcome.

--- a/request/endtoend_test.go
+++ b/request/endtoend_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 )
 
@@ -65,3 +67,33 @@
 	}
 	c.withinLimits(8)
 }
+
+// withoutCustomers is the configuration of a daemon that has not read of any customer.
+type withoutCustomers struct{ config.View }
+
+func (withoutCustomers) Current() *config.State { return &config.State{} }
+
+// Guards against "not run" for an id that has run, said by a daemon whose
+// configuration lacks the customer, to which the caller repeats its call.
+func TestRepeatThroughDaemonWithOldConfiguration(t *testing.T) {
+	old := func(cfg *Config) {
+		if cfg.Peers.Self().ID == "d2" {
+			cfg.View = withoutCustomers{cfg.View}
+		}
+	}
+	c, ds := threeDaemons(t, standin.ExecutorConfig{ServiceTime: time.Millisecond, Seed: 1}, old)
+	a, err := ds[0].svc.Do(context.Background(), Call{Customer: "acme", Class: Nudge, Body: []byte("x")})
+	if err != nil || c.runs()[a.ID] != 1 {
+		t.Fatalf("first call: %v", err)
+	}
+	for _, id := range []string{a.ID, ""} {
+		_, err = ds[1].svc.Do(context.Background(), Call{Customer: "acme", Class: Nudge, ID: id, Body: []byte("x")})
+		want := errkind.OutcomeUnknown
+		if id == "" {
+			want = errkind.NotFound // minted by this entry: certainly not run
+		}
+		if errkind.Of(err) != want || errkind.ReasonOf(err) != "unknown_customer" {
+			t.Errorf("id %q: got %v, want kind %s", id, err, want)
+		}
+	}
+}
--- a/request/service.go
+++ b/request/service.go
@@ -136,6 +136,10 @@
 	}
 	defer s.gate.leave()
 	customer, err := s.customer(r.customer)
+	if err != nil && given && recorded {
+		// The configuration here may be older than that of the daemon that ran the id.
+		return failed(errkind.Wrap(errkind.OutcomeUnknown, errkind.ReasonOf(err), err))
+	}
 	if err != nil {
 		return refuse(err)
 	}
