Split the choice of reservations and remove a check that stood twice

Cause: read-through; a merge had left the same check on gangs twice in the longest function. After: two functions; the tests of placement pass unchanged. Conclusion: no change of behaviour.

--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -45,11 +45,31 @@
 			e.considerAt(r.at.Add(time.Millisecond))
 		}
 	}
-	type candidate struct {
-		s *shape
-		j *job
+	for _, c := range e.reserveCandidates(now) {
+		if len(e.resvs) >= e.cfg.Reservations {
+			return
+		}
+		// Workers drain at a cost; a second gang waits for those of the first.
+		if c.shape.kind == workload.Gang && slices.ContainsFunc(e.resvs, func(r *reservation) bool { return r.shape.kind == workload.Gang }) {
+			continue
+		}
+		if !e.reserve(c.shape, c.job, now) {
+			e.considerAt(now.Add(10 * e.cfg.ReserveAfter))
+		}
 	}
-	var cands []candidate
+}
+
+// reserveCandidate is the first waiting job of a blocked shape.
+type reserveCandidate struct {
+	shape *shape
+	job   *job
+}
+
+// reserveCandidates returns the jobs that have waited long enough for a
+// reservation, in the order of their turn, and lets teams below their quota take
+// borrowed resources back.
+func (e *Engine) reserveCandidates(now time.Time) []reserveCandidate {
+	var out []reserveCandidate
 	for _, s := range e.blocked {
 		e.stats.QueueSteps++
 		if !s.doomed.IsZero() {
@@ -66,31 +86,16 @@
 			continue
 		}
 		if j := s.first(); j != nil {
-			cands = append(cands, candidate{s, j})
+			out = append(out, reserveCandidate{s, j})
 		}
 	}
-	slices.SortFunc(cands, func(a, b candidate) int {
-		if before(a.j, b.j) {
+	slices.SortFunc(out, func(a, b reserveCandidate) int {
+		if before(a.job, b.job) {
 			return -1
 		}
 		return 1
 	})
-	for _, c := range cands {
-		if len(e.resvs) >= e.cfg.Reservations {
-			return
-		}
-		// Workers drain at a cost; a second gang waits for those of the first.
-		if c.s.kind == workload.Gang && slices.ContainsFunc(e.resvs, func(r *reservation) bool { return r.shape.kind == workload.Gang }) {
-			continue
-		}
-		// Workers drain at a cost; a second gang waits for those of the first.
-		if c.s.kind == workload.Gang && slices.ContainsFunc(e.resvs, func(r *reservation) bool { return r.shape.kind == workload.Gang }) {
-			continue
-		}
-		if !e.reserve(c.s, c.j, now) {
-			e.considerAt(now.Add(10 * e.cfg.ReserveAfter))
-		}
-	}
+	return out
 }
 
 // first returns the first waiting job of s over all teams, or nil.
