Show who published the version in force

Cause: operators ask what is in force where, since when and by whom; sheet show left the last one out. Before: no publisher. After: column BY, from the history of the daemon that answers; tried by hand. Conclusion: a publisher older than the newest 200 changes is left empty.

--- a/cmd/sassafrasctl/sheet.go
+++ b/cmd/sassafrasctl/sheet.go
@@ -190,7 +190,7 @@
 }
 
 func (t *tool) sheetShow(s *kingpin.CmdClause) command {
-	c := s.Command("show", "Show the version in force on every daemon, and since when.\n\nExample:\n  sassafrasctl sheet show")
+	c := s.Command("show", "Show the version in force on every daemon, since when, and by whom.\n\nExample:\n  sassafrasctl sheet show")
 	return command{c, func(ctx context.Context) error {
 		var out struct {
 			Daemons []daemon.VersionInForce `json:"daemons"`
@@ -199,9 +199,9 @@
 			return err
 		}
 		return t.print(out, func(row func(...any)) {
-			row("DAEMON", "REGION", "VERSION", "SINCE", "READY", "LOG", "ERROR")
+			row("DAEMON", "REGION", "VERSION", "SINCE", "BY", "READY", "LOG", "ERROR")
 			for _, d := range out.Daemons {
-				row(d.Daemon, d.Region, d.Version, d.Since.Format(time.RFC3339), d.Ready, d.LogReadable, d.Error)
+				row(d.Daemon, d.Region, d.Version, d.Since.Format(time.RFC3339), d.By, d.Ready, d.LogReadable, d.Error)
 			}
 		})
 	}}
--- a/daemon/api_config.go
+++ b/daemon/api_config.go
@@ -12,6 +12,10 @@
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
+// publisherHistory is the number of newest changes in which the publisher of a
+// version in force is looked for.
+const publisherHistory = 200
+
 // maxAwait bounds how long a call may wait for the other daemons.
 const maxAwait = time.Minute
 
@@ -41,6 +45,7 @@
 	Region      string    `json:"region"`
 	Version     uint64    `json:"version"`
 	Since       time.Time `json:"since"`
+	By          string    `json:"by,omitempty" doc:"who published the version, as far as this daemon remembers"`
 	Ready       bool      `json:"ready"`
 	LogReadable bool      `json:"log_readable"`
 	Error       string    `json:"error,omitempty"`
@@ -123,9 +128,21 @@
 	for _, v := range peers.Versions(ctx) {
 		out.Body.Daemons = append(out.Body.Daemons, versionOf(v))
 	}
+	d.namePublishers(out.Body.Daemons)
 	return out, nil
 }
 
+// namePublishers fills in who published each version.
+func (d *Daemon) namePublishers(versions []VersionInForce) {
+	by := make(map[uint64]string)
+	for _, e := range do.MustInvoke[*config.Store](d.injector).History(publisherHistory) {
+		by[uint64(e.Version)] = e.By
+	}
+	for i := range versions {
+		versions[i].By = by[versions[i].Version]
+	}
+}
+
 func versionOf(v config.PeerVersion) VersionInForce {
 	out := VersionInForce{
 		Daemon: v.Daemon, Region: string(zone.Region(v.Region)), Version: uint64(v.Version),
