Show job shards and workers in top

Cause: operators could see executor groups but neither the queue of jobs nor the workers. Ruled out: asking every daemon on behalf of the operator, which would cross regions; top shows what the daemon owns. Before: members, keys, groups, links. Conclusion: the region's other racks are seen at their owners.

--- a/cmd/sassafrasctl/cell.go
+++ b/cmd/sassafrasctl/cell.go
@@ -16,7 +16,7 @@
 }
 
 func (t *tool) topCommand(app *kingpin.Application) command {
-	c := app.Command("top", "Show members, keys, queues and links as one daemon sees them.\n\nExample:\n  sassafrasctl top -s http://10.0.0.5:8080")
+	c := app.Command("top", "Show members, keys, queues, workers and links as one daemon sees them.\n\nExample:\n  sassafrasctl top -s http://10.0.0.5:8080")
 	return command{c, func(ctx context.Context) error {
 		var cell daemon.Cell
 		if err := t.call(ctx, http.MethodGet, "/v1/cell", nil, &cell); err != nil {
@@ -52,6 +52,7 @@
 	for _, g := range groups {
 		row(g.Key, g.Owner, g.Slots, g.Busy, g.Queued)
 	}
+	printOwned(cell, row)
 	row()
 	row("LINK", "BYTES IN", "BYTES OUT")
 	for _, l := range cell.Links {
@@ -59,6 +60,27 @@
 	}
 }
 
+// printOwned shows the job shards and workers that the daemon owns.
+func printOwned(cell *daemon.Cell, row func(...any)) {
+	row()
+	row("JOB SHARD", "OPEN JOBS", "WAITING", "RUNNING", "REFUSED")
+	for _, s := range cell.Jobs {
+		row(s.Shard, s.Open, s.Waiting, s.Running, s.Refused)
+	}
+	row()
+	row("WORKER", "RACK", "TASKS", "USED", "CAPACITY", "STATE")
+	for _, w := range cell.Workers {
+		state := "reachable"
+		switch {
+		case !w.Reachable:
+			state = "unreachable"
+		case w.Draining:
+			state = "draining"
+		}
+		row(w.ID, w.Rack, w.Tasks, w.Used, w.Capacity, state)
+	}
+}
+
 func (t *tool) doctorCommand(app *kingpin.Application) command {
 	c := app.Command("doctor", "Show what a daemon cannot do at the moment, and why. Exit code 6 if there is something.\n\nExample:\n  sassafrasctl doctor -s http://10.0.0.5:8080")
 	return command{c, func(ctx context.Context) error {
--- a/daemon/api_cell.go
+++ b/daemon/api_cell.go
@@ -12,6 +12,7 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/job"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/request"
@@ -52,6 +53,8 @@
 	Keys     []KeyOwner             `json:"keys" doc:"keys of this daemon's region"`
 	Links    []LinkBytes            `json:"links"`
 	Requests request.Stats          `json:"requests"`
+	Workers  []job.WorkerStats      `json:"workers" doc:"workers of the racks that this daemon owns"`
+	Jobs     []job.ShardStats       `json:"jobs" doc:"job shards that this daemon owns"`
 }
 
 type cellOutput struct{ Body Cell }
@@ -93,6 +96,8 @@
 		Uptime:   time.Since(d.started).Round(time.Second).String(),
 		Regions:  make(map[string][]zone.Name),
 		Requests: do.MustInvoke[*request.Service](d.injector).Stats(),
+		Workers:  do.MustInvoke[*job.Rack](d.injector).Stats(),
+		Jobs:     do.MustInvoke[*job.Scheduler](d.injector).Stats(),
 	}
 	for r, zones := range d.set.Regions {
 		c.Regions[string(r)] = zones
