Publish a change during a cut and with each generation of daemons

Cause: no process test showed that a region catches up with a change that it missed, nor that a rolling replacement keeps every accepted change. Before: configuration was published once, before the faults.

--- a/internal/cluster/cell_test.go
+++ b/internal/cluster/cell_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/oklog/ulid/v2"
 
 	"github.com/sassafraslb/sassafraslb/client"
 	"github.com/sassafraslb/sassafraslb/config"
@@ -149,14 +150,23 @@
 		x.t.Fatal(err)
 	}
 	// Callers of a new customer come once it is in force everywhere, as sheet apply --wait tells.
-	for _, n := range x.Daemons {
+	x.awaitVersion(res.Version)
+}
+
+// awaitVersion waits until every running daemon acts on version v or a later one.
+func (x *cell) awaitVersion(v uint64) {
+	x.t.Helper()
+	for _, n := range x.Nodes() {
+		if !n.Running() {
+			continue
+		}
 		err := Poll(x.ctx, "the configuration at "+n.ID, func(ctx context.Context) error {
 			var st config.State
 			if err := x.Send(ctx, http.MethodGet, n.URL()+"/v1/config", nil, &st); err != nil {
 				return err
 			}
-			if uint64(st.Version) < res.Version {
-				return errors.Errorf("version %d", st.Version)
+			if uint64(st.Version) < v {
+				return errors.Errorf("version %d, want %d", st.Version, v)
 			}
 			return nil
 		})
@@ -166,6 +176,26 @@
 	}
 }
 
+// addTeam publishes a small change through n and returns its version.
+func (x *cell) addTeam(n *Node, name string) uint64 {
+	x.t.Helper()
+	c, err := client.New(client.Config{Servers: []string{n.URL()}, RetryFor: testLimit, Timeout: 3 * time.Second})
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	var st config.State
+	if err := c.Call(x.ctx, http.MethodGet, "/v1/config", nil, &st); err != nil {
+		x.t.Fatal(err)
+	}
+	body := daemon.ChangeBody{ID: ulid.Make().String(), Base: uint64(st.Version), Mode: "merge", By: "test",
+		Ops: []config.Op{{Team: &config.Team{Name: name, Home: "lombardy", Weight: 1}}}}
+	var res daemon.ChangeResult
+	if err := c.Call(x.ctx, http.MethodPost, "/v1/config/changes", body, &res); err != nil {
+		x.t.Fatal(err)
+	}
+	return res.Version
+}
+
 // targets returns the daemons that a balancer would use.
 func (x *cell) targets() []string {
 	x.mu.Lock()
--- a/internal/cluster/faults_test.go
+++ b/internal/cluster/faults_test.go
@@ -90,8 +90,9 @@
 	x.finish()
 }
 
-// Guards against two owners on the two sides of a cut between the regions, and
-// against tasks that end because their region cannot reach the log.
+// Guards against two owners on the two sides of a cut between the regions,
+// against tasks that end because their region cannot reach the log, and against a
+// change that a region misses for good.
 func TestRegionsParted(t *testing.T) {
 	for _, state := range []LinkState{LinkCut, LinkSilent} {
 		t.Run(fmt.Sprint(state), func(t *testing.T) {
@@ -99,6 +100,8 @@
 			x.wave(0)
 			before := x.runningServices()
 			x.SetLink(state)
+			// Accepted on the side of the log, unknown on the other until the link is back.
+			during := x.addTeam(x.Daemons[1], "during-the-cut")
 			time.Sleep(6 * time.Second) // more than the lease of tasks
 			after := x.runningServices()
 			for task, start := range before {
@@ -107,6 +110,7 @@
 				}
 			}
 			x.SetLink(LinkUp)
+			x.awaitVersion(during)
 			x.awaitOwners()
 			x.wave(1)
 			x.finish()
@@ -118,6 +122,7 @@
 // daemon is replaced one after another.
 func TestRollingReplacement(t *testing.T) {
 	x := startCell(t, fiveDaemons...)
+	var version uint64
 	for n, old := range append([]*Node(nil), x.Daemons...) {
 		// A balancer sends callers to a daemon only once /readyz is 200.
 		id := fmt.Sprintf("entry-new-%d", n+1)
@@ -142,6 +147,9 @@
 			t.Fatal(err)
 		}
 		x.awaitOwners(old.ID)
+		// Each generation must keep what the one before it accepted.
+		version = max(version, x.addTeam(fresh, fmt.Sprintf("team-%d", n)))
+		x.awaitVersion(version)
 	}
 	attempts, _ := x.finish()
 	for _, a := range attempts {
