Wait for a time or a context in one place, and count running tasks in one place

Cause: the read-through of the whole change found the same wait five times as a function named sleep and three times in line, and the count of a job's running tasks in its status and in the new statistics. Ruled out: a function of one of the packages, which would make unrelated packages depend on it; client and request kept apart, whose copies were the same select. Before: eight copies, two of which left a timer behind until it fired. After: internal/pause and jobState.running. Conclusion: no change of behaviour; the tests are unchanged.

--- a/client/client.go
+++ b/client/client.go
@@ -19,6 +19,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 )
 
 // maxAnswer bounds what is read of an answer. It is above the largest answer of an executor.
@@ -116,17 +117,13 @@
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
 	end := time.Now().Add(c.cfg.RetryFor)
 	maybeRan := false
-	for pause := c.cfg.Backoff; ; pause = min(2*pause, 2*time.Second) {
+	for wait := c.cfg.Backoff; ; wait = min(2*wait, 2*time.Second) {
 		resp, err := c.round(ctx, r, &maybeRan)
-		if err == nil || !retryable(err) || time.Now().Add(pause).After(end) {
+		if err == nil || !retryable(err) || time.Now().Add(wait).After(end) {
 			return resp, err
 		}
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !pause.For(ctx, wait) {
 			return nil, err
-		case <-t.C:
 		}
 	}
 }
--- a/config/peers.go
+++ b/config/peers.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
@@ -107,7 +108,7 @@
 		if len(missing) == 0 || ctx.Err() != nil {
 			return missing
 		}
-		sleep(ctx, p.cfg.PollInterval)
+		pause.For(ctx, p.cfg.PollInterval)
 	}
 }
 
--- a/config/publisher.go
+++ b/config/publisher.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/platform"
 )
 
@@ -154,7 +155,7 @@
 			return ctx.Err()
 		case <-p.wake:
 		}
-		sleep(ctx, p.cfg.Linger)
+		pause.For(ctx, p.cfg.Linger)
 		for batch := p.take(); len(batch) > 0 && ctx.Err() == nil; batch = append(batch, p.take()...) {
 			batch = p.round(ctx, batch)
 		}
@@ -219,7 +220,7 @@
 		}
 	}
 	if len(again) > 0 && again[0].rounds > 1 {
-		sleep(ctx, rand.N(p.cfg.Linger))
+		pause.For(ctx, rand.N(p.cfg.Linger))
 	}
 	return again
 }
--- a/config/read.go
+++ b/config/read.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/platform"
 )
 
@@ -23,7 +24,7 @@
 	var rollover sync.WaitGroup
 	rollover.Go(func() { s.runRollover(ctx) })
 	defer rollover.Wait()
-	pause := s.cfg.RetryMin
+	wait := s.cfg.RetryMin
 	var asked time.Time
 	for ctx.Err() == nil {
 		err := s.step(ctx)
@@ -32,35 +33,26 @@
 		}
 		s.setLogErr(err)
 		if err == nil {
-			pause = s.cfg.RetryMin
+			wait = s.cfg.RetryMin
 			continue
 		}
 		if now := time.Now(); s.cfg.Peers != nil && (asked.IsZero() || now.Sub(asked) >= s.cfg.PeerInterval) {
 			asked = now
 			s.askPeers(ctx)
 		}
-		sleep(ctx, pause)
-		pause = min(2*pause, s.cfg.RetryMax)
+		pause.For(ctx, wait)
+		wait = min(2*wait, s.cfg.RetryMax)
 	}
 	return ctx.Err()
 }
 
 func (s *Store) runRollover(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, rolloverCheck)
+		pause.For(ctx, rolloverCheck)
 		s.rollover()
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (s *Store) setLogErr(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/config/snapshotter.go
+++ b/config/snapshotter.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/platform"
 )
 
@@ -69,11 +70,11 @@
 // Run appends snapshots when they are due, until ctx ends.
 func (s *Snapshotter) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, s.cfg.CheckInterval)
+		pause.For(ctx, s.cfg.CheckInterval)
 		if !s.due() {
 			continue
 		}
-		sleep(ctx, s.cfg.Delay())
+		pause.For(ctx, s.cfg.Delay())
 		if ctx.Err() != nil || !s.due() {
 			continue
 		}
--- a/contract/balance.go
+++ b/contract/balance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/platform"
 )
@@ -14,7 +15,7 @@
 // over to the daemon that ranks first.
 func (c *Claimer) balanceLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, c.cfg.BalanceInterval/4)
+		pause.For(ctx, c.cfg.BalanceInterval/4)
 		now := time.Now()
 		c.mu.Lock()
 		due := c.fresh(now) && c.joined && !c.draining && now.Sub(c.balancedAt) >= c.cfg.BalanceInterval
@@ -232,7 +233,7 @@
 	var newSince time.Time
 	var through platform.Offset
 	for ctx.Err() == nil {
-		sleep(ctx, c.cfg.Tick)
+		pause.For(ctx, c.cfg.Tick)
 		now := time.Now()
 		c.mu.Lock()
 		if !c.fresh(now) || !c.joined || c.book.Next() == 0 {
--- a/contract/claimer.go
+++ b/contract/claimer.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/platform"
 )
@@ -115,7 +116,7 @@
 			c.mu.Unlock()
 			c.cfg.Logger.Info().Str("event", "control_stream_trimmed").Uint64("oldest", uint64(trimmed.Oldest)).Send()
 		case err != nil:
-			sleep(ctx, c.cfg.PollWait/4)
+			pause.For(ctx, c.cfg.PollWait/4)
 		default:
 			c.applyBatch(book, b, start.Add(-age))
 		}
@@ -221,7 +222,7 @@
 			}
 			c.waitFor(ctx, 5*c.cfg.Tick, func() bool { return c.joined })
 		}
-		sleep(ctx, c.cfg.Tick)
+		pause.For(ctx, c.cfg.Tick)
 	}
 	return nil
 }
@@ -235,14 +236,7 @@
 		if ok {
 			return
 		}
-		sleep(ctx, min(c.cfg.Tick, 10*time.Millisecond))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		pause.For(ctx, min(c.cfg.Tick, 10*time.Millisecond))
 	}
 }
 
--- a/contract/decide.go
+++ b/contract/decide.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/platform"
 )
@@ -16,7 +17,7 @@
 // watchers when a takeover wait has passed.
 func (c *Claimer) claimLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, c.cfg.Tick)
+		pause.For(ctx, c.cfg.Tick)
 		now := time.Now()
 		c.mu.Lock()
 		c.tellReady(now)
--- a/contract/hosts.go
+++ b/contract/hosts.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/zone"
@@ -19,7 +20,7 @@
 		} else if ctx.Err() == nil {
 			c.cfg.Logger.Debug().Str("event", "host_list_failed").Err(err).Send()
 		}
-		sleep(ctx, c.cfg.HostsInterval)
+		pause.For(ctx, c.cfg.HostsInterval)
 	}
 	return nil
 }
--- a/contract/tenure.go
+++ b/contract/tenure.go
@@ -7,6 +7,7 @@
 
 	"storj.io/drpc/drpcmux"
 
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/rpc"
 )
 
@@ -107,7 +108,7 @@
 // promiseLoop confirms tenure by promises while the log cannot be read.
 func (c *Claimer) promiseLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, c.cfg.Tenure/6)
+		pause.For(ctx, c.cfg.Tenure/6)
 		now := time.Now()
 		c.mu.Lock()
 		keys := c.unconfirmed(now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/job"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/request"
@@ -102,7 +103,7 @@
 	d.draining.Store(true)
 	d.log.Info().Str("event", "drain_started").Send()
 	// The balancer must see /readyz fail before calls are refused.
-	sleep(ctx, d.set.DrainNotice.Std())
+	pause.For(ctx, d.set.DrainNotice.Std())
 	ctx, cancel := context.WithTimeout(ctx, d.set.DrainLimit.Std())
 	defer cancel()
 	if err := do.MustInvoke[*contract.Claimer](d.injector).Drain(ctx); err != nil {
@@ -114,7 +115,7 @@
 	}
 	// Other daemons may still send calls here until they have read of the handover;
 	// these are refused as not run, which a closed connection could not say.
-	sleep(ctx, d.set.DrainNotice.Std())
+	pause.For(ctx, d.set.DrainNotice.Std())
 	if err := do.MustInvoke[*contract.Claimer](d.injector).Leave(ctx); err != nil {
 		// The other daemons find out by missing heartbeats or from the host list.
 		d.log.Warn().Str("event", "leave_not_appended").Err(err).Send()
@@ -141,12 +142,3 @@
 		d.log.Error().Str("event", "http_shutdown_failed").Err(err).Send()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/job/carry.go
+++ b/job/carry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
@@ -29,7 +30,7 @@
 	every := min(sh.s.cfg.CarryAfter/20, 10*time.Second)
 	var last time.Time
 	var seen platform.Offset
-	for sleep(sh.ctx, carryPoll) {
+	for pause.For(sh.ctx, carryPoll) {
 		oldest, next := sh.journal.position()
 		moved := oldest > 0 && next-seen > (next-oldest)/carryParts
 		if now := sh.s.cfg.Now(); sh.tenure() && (moved || now.Sub(last) >= every) {
--- a/job/fleet.go
+++ b/job/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
@@ -49,7 +50,7 @@
 		if err := f.refresh(ctx); err == nil {
 			changed()
 		}
-		if !sleep(ctx, every) {
+		if !pause.For(ctx, every) {
 			return
 		}
 	}
@@ -74,18 +75,6 @@
 	return out, f.known
 }
 
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // holder keeps one running part per held key.
 type holder struct {
 	mu    sync.Mutex
--- a/job/journal.go
+++ b/job/journal.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/platform"
 )
 
@@ -56,7 +57,7 @@
 			continue
 		}
 		if err != nil {
-			sleep(ctx, tailRetry)
+			pause.For(ctx, tailRetry)
 			continue
 		}
 		if first {
--- a/job/rack_tenure.go
+++ b/job/rack_tenure.go
@@ -8,6 +8,7 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
@@ -113,7 +114,7 @@
 // run sends reports until the tenure ends.
 func (t *rackTenure) run() {
 	var reports sync.WaitGroup
-	for sleep(t.ctx, t.rack.cfg.ReportEvery) {
+	for pause.For(t.ctx, t.rack.cfg.ReportEvery) {
 		t.awaitNews()
 		t.expireReservations()
 		t.report(&reports)
--- a/job/rack_worker.go
+++ b/job/rack_worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/workload"
@@ -363,7 +364,7 @@
 		if fits {
 			return true
 		}
-		if w.t.rack.cfg.Now().After(deadline) || !sleep(ctx, preemptPoll) {
+		if w.t.rack.cfg.Now().After(deadline) || !pause.For(ctx, preemptPoll) {
 			return false
 		}
 	}
--- a/job/reconcile.go
+++ b/job/reconcile.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
@@ -23,7 +24,7 @@
 
 // reconcileLoop compares the jobs of the shard with the intentions.
 func (sh *shard) reconcileLoop() {
-	for sleep(sh.ctx, sh.s.cfg.ReconcileEvery) {
+	for pause.For(sh.ctx, sh.s.cfg.ReconcileEvery) {
 		if sh.tenure() {
 			sh.reconcile()
 		}
--- a/job/records.go
+++ b/job/records.go
@@ -98,6 +98,17 @@
 
 func (j *jobState) final() bool { return finalState(j.state) }
 
+// running returns the number of tasks that run.
+func (j *jobState) running() int {
+	n := 0
+	for _, f := range j.flights {
+		if f.running {
+			n++
+		}
+	}
+	return n
+}
+
 func finalState(s string) bool { return s != Accepted && s != Cancelling && s != Refused }
 
 // addEnd notes the end of an attempt and reports whether it is new.
--- a/job/scheduler_serve.go
+++ b/job/scheduler_serve.go
@@ -129,12 +129,7 @@
 	if j == nil {
 		return nil, toWire(errkind.New(errkind.NotFound, "unknown_job", "job %s is not known", id))
 	}
-	reply := &rpc.JobStatusReply{Job: id, State: j.state, Reason: j.reason, Finished: int32(j.done), Failed: int32(j.failed)}
-	for _, f := range j.flights {
-		if f.running {
-			reply.Running++
-		}
-	}
+	reply := &rpc.JobStatusReply{Job: id, State: j.state, Reason: j.reason, Running: int32(j.running()), Finished: int32(j.done), Failed: int32(j.failed)}
 	if !j.final() {
 		reply.Waiting = int32(j.job.Count) - reply.Running - reply.Finished
 	}
--- a/job/shard_flight.go
+++ b/job/shard_flight.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/contract"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/placement"
 	"github.com/sassafraslb/sassafraslb/rpc"
@@ -275,7 +276,7 @@
 		err := sh.appendEnds(ctx, r, ends)
 		cancel()
 		if err != nil {
-			sleep(sh.ctx, sh.s.cfg.RetryEvery)
+			pause.For(sh.ctx, sh.s.cfg.RetryEvery)
 			continue
 		}
 		sh.mu.Lock()
--- a/job/shard_rack.go
+++ b/job/shard_rack.go
@@ -6,6 +6,7 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/placement"
 	"github.com/sassafraslb/sassafraslb/rpc"
@@ -45,14 +46,14 @@
 	ctx := rs.sh.ctx
 	for ctx.Err() == nil {
 		if !rs.sh.tenure() {
-			sleep(ctx, rs.sh.s.cfg.RetryEvery)
+			pause.For(ctx, rs.sh.s.cfg.RetryEvery)
 			continue
 		}
 		if rs.stale() {
 			if err := rs.adopt(ctx); err != nil {
 				rs.sh.s.counts.inc("adopt_failed", errkind.ReasonOf(err))
 				rs.giveUp()
-				sleep(ctx, rs.sh.s.cfg.RetryEvery)
+				pause.For(ctx, rs.sh.s.cfg.RetryEvery)
 				continue
 			}
 		}
--- a/job/stats.go
+++ b/job/stats.go
@@ -91,12 +91,7 @@
 		if j.final() {
 			continue
 		}
-		running := 0
-		for _, f := range j.flights {
-			if f.running {
-				running++
-			}
-		}
+		running := j.running()
 		out.Open++
 		out.Running += running
 		out.Waiting += j.job.Count - running - j.done
--- a/link/peer.go
+++ b/link/peer.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/rpc"
 )
 
@@ -76,7 +77,7 @@
 		p.pool.closeIdle()
 		// A stream that lasted is replaced at once; failing dials are paced.
 		if time.Since(began) < m.cfg.HeartbeatInterval {
-			sleep(ctx, m.cfg.HeartbeatInterval/2)
+			pause.For(ctx, m.cfg.HeartbeatInterval/2)
 		}
 	}
 }
@@ -283,10 +284,3 @@
 	defer m.mu.Unlock()
 	return m.started != nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/link/relay.go
+++ b/link/relay.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
 )
@@ -179,7 +180,7 @@
 		if !known {
 			head, err := platform.Head(ctx, r.cfg.Direct, stream)
 			if err != nil {
-				sleep(ctx, r.cfg.PollWait/4)
+				pause.For(ctx, r.cfg.PollWait/4)
 				continue
 			}
 			from, known = head, true
@@ -191,7 +192,7 @@
 			known = false
 			r.reset(t)
 		case err != nil:
-			sleep(ctx, r.cfg.PollWait/4)
+			pause.For(ctx, r.cfg.PollWait/4)
 		default:
 			r.extend(t, from, b, start)
 			from = b.Next
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -67,14 +68,7 @@
 		return false
 	}
 	s.metrics.retries.WithLabelValues(reason).Inc()
-	t := time.NewTimer(backoff)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, backoff)
 }
 
 func (s *Service) attempt(ctx context.Context, r *request, tried map[contract.Key]bool) reply {
@@ -142,14 +136,7 @@
 		return false
 	}
 	s.metrics.retries.WithLabelValues(reason).Inc()
-	t := time.NewTimer(backoff)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, backoff)
 }
 
 // certain replaces "not run" for an id that the caller gave, unless the recorder
