--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
@@ -51,7 +51,7 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					r := platform.Record{Offset: l.add(data), Data: data}
+					r := upstream.Record{Offset: l.add(data), Data: data}
 					if im, _, err = im.fold(r, 10_000); err != nil {
 						b.Fatal(err)
 					}
@@ -176,7 +176,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				if im, _, err = im.fold(platform.Record{Offset: im.Next, Data: data}, 10_000); err != nil {
+				if im, _, err = im.fold(upstream.Record{Offset: im.Next, Data: data}, 10_000); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/config/calendar_test.go
+++ b/config/calendar_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
@@ -26,7 +26,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	im, v, err := s.im.fold(platform.Record{Offset: s.im.Next, Data: data}, 100)
+	im, v, err := s.im.fold(upstream.Record{Offset: s.im.Next, Data: data}, 100)
 	if err != nil || !v.accepted {
 		s.t.Fatalf("change was not accepted: %v", err)
 	}
--- a/config/fakelog_test.go
+++ b/config/fakelog_test.go
@@ -8,43 +8,43 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
 // fakeLog is a log in memory. Daemons use it through clients with faults of their own.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []platform.Record
-	oldest  platform.Offset
+	records []upstream.Record
+	oldest  upstream.Offset
 	grown   chan struct{}
 	waiting int // long polls in progress
 }
 
 func newFakeLog() *fakeLog { return &fakeLog{grown: make(chan struct{})} }
 
-func (l *fakeLog) add(records ...[]byte) platform.Offset {
+func (l *fakeLog) add(records ...[]byte) upstream.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	first := platform.Offset(len(l.records))
+	first := upstream.Offset(len(l.records))
 	for i, r := range records {
-		l.records = append(l.records, platform.Record{Offset: first + platform.Offset(i), Data: r})
+		l.records = append(l.records, upstream.Record{Offset: first + upstream.Offset(i), Data: r})
 	}
 	close(l.grown)
 	l.grown = make(chan struct{})
 	return first
 }
 
-func (l *fakeLog) trim(to platform.Offset) {
+func (l *fakeLog) trim(to upstream.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.oldest = to
 }
 
-func (l *fakeLog) head() platform.Offset {
+func (l *fakeLog) head() upstream.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return platform.Offset(len(l.records))
+	return upstream.Offset(len(l.records))
 }
 
 // client is one daemon's access to the log.
@@ -60,7 +60,7 @@
 	dropAppend int                 // this many appends are lost on the way, with an unknown outcome
 	late       func(record []byte) // takes a dropped append, to deliver it later
 	slow       bool                // appends take effect, but their answer never comes
-	staleHead  platform.Offset     // reads see the log as it was at this head; zero is off
+	staleHead  upstream.Offset     // reads see the log as it was at this head; zero is off
 }
 
 func (c *client) set(f faults) {
@@ -73,7 +73,7 @@
 
 var errDown = errkind.New(errkind.LogUnavailable, "log_down", "the log is down")
 
-func (c *client) Append(ctx context.Context, _ string, records [][]byte) (platform.Offset, error) {
+func (c *client) Append(ctx context.Context, _ string, records [][]byte) (upstream.Offset, error) {
 	c.mu.Lock()
 	c.appends++
 	unknown := errkind.New(errkind.AppendUnknown, "answer_lost", "the answer was lost")
@@ -106,7 +106,7 @@
 	return first, nil
 }
 
-func (c *client) Read(ctx context.Context, _ string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (c *client) Read(ctx context.Context, _ string, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	c.mu.Lock()
@@ -114,14 +114,14 @@
 	c.reads++
 	for {
 		if c.down || ctx.Err() != nil {
-			return platform.Batch{}, errDown
+			return upstream.Batch{}, errDown
 		}
-		head := platform.Offset(len(c.records))
+		head := upstream.Offset(len(c.records))
 		if c.staleHead > 0 {
 			head = min(head, c.staleHead)
 		}
 		if from < c.oldest {
-			return platform.Batch{}, &platform.TrimmedError{Stream: platform.StreamConfig, Oldest: c.oldest}
+			return upstream.Batch{}, &upstream.TrimmedError{Stream: upstream.StreamConfig, Oldest: c.oldest}
 		}
 		if from != head || wait == 0 {
 			return c.batch(from, head, limit), nil
@@ -140,8 +140,8 @@
 	}
 }
 
-func (c *client) batch(from, head platform.Offset, limit int) platform.Batch {
-	b := platform.Batch{Next: from, Head: head, Oldest: c.oldest}
+func (c *client) batch(from, head upstream.Offset, limit int) upstream.Batch {
+	b := upstream.Batch{Next: from, Head: head, Oldest: c.oldest}
 	for o := from; o < head && len(b.Records) < limit; o++ {
 		b.Records = append(b.Records, c.records[o])
 		b.Next = o + 1
--- a/config/fold.go
+++ b/config/fold.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // maxKeysPerEntry bounds the keys kept per history entry. A change of more keys
@@ -33,7 +33,7 @@
 	State   *State          `json:"state"`
 	History []Entry         `json:"history"` // oldest first, bounded
 	Floor   Version         `json:"floor"`   // every accepted change above it is in History
-	Next    platform.Offset `json:"next"`    // every record below it is folded
+	Next    upstream.Offset `json:"next"`    // every record below it is folded
 }
 
 func emptyImage() Image { return Image{State: emptyState()} }
@@ -49,7 +49,7 @@
 // result depends on nothing but im and r, so that every daemon gets the same. An
 // image is folded at most once, because both histories share memory.
 // The only error is errNewerFormat; im is unchanged then.
-func (im Image) fold(r platform.Record, historyLimit int) (Image, verdict, error) {
+func (im Image) fold(r upstream.Record, historyLimit int) (Image, verdict, error) {
 	next := im
 	next.Next = r.Offset + 1
 	if len(r.Data) > 0 && r.Data[0] == tagSnapshot {
--- a/config/peers.go
+++ b/config/peers.go
@@ -14,8 +14,8 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -51,7 +51,7 @@
 	Daemon      string
 	Region      zone.Region
 	Version     Version
-	Next        platform.Offset
+	Next        upstream.Offset
 	Since       time.Time // clock of that daemon
 	Ready       bool
 	LogReadable bool
@@ -88,7 +88,7 @@
 		v.Err = err
 		return
 	}
-	v.Version, v.Next = Version(res.Version), platform.Offset(res.Next)
+	v.Version, v.Next = Version(res.Version), upstream.Offset(res.Next)
 	v.Ready, v.LogReadable = res.Ready, res.LogReadable
 	if res.SinceUnixMs > 0 {
 		v.Since = time.UnixMilli(res.SinceUnixMs)
@@ -113,7 +113,7 @@
 }
 
 // Newest implements PeerSource. Of equally new peers it prefers one of the same region.
-func (p *Peers) Newest(ctx context.Context, have platform.Offset) (Image, bool, error) {
+func (p *Peers) Newest(ctx context.Context, have upstream.Offset) (Image, bool, error) {
 	versions := p.Versions(ctx)
 	ready := versions[:0]
 	for _, v := range versions {
@@ -145,7 +145,7 @@
 	return Image{}, false, errkind.Wrap(errkind.NotReady, "peer_state", last)
 }
 
-func (p *Peers) state(ctx context.Context, daemon string, have platform.Offset) (Image, error) {
+func (p *Peers) state(ctx context.Context, daemon string, have upstream.Offset) (Image, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.StateTimeout)
 	defer cancel()
 	conn, err := p.cfg.Links.Conn(ctx, daemon)
--- a/config/peerserver.go
+++ b/config/peerserver.go
@@ -6,8 +6,8 @@
 	"sync"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // peerPartBytes is the payload of one message of an image.
@@ -20,7 +20,7 @@
 
 	mu      sync.Mutex
 	encoded []byte // image at encodedNext, kept because daemons tend to start together
-	next    platform.Offset
+	next    upstream.Offset
 }
 
 // NewPeerServer returns a server for s.
--- a/config/publisher.go
+++ b/config/publisher.go
@@ -11,13 +11,13 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // PublisherConfig configures a Publisher.
 type PublisherConfig struct {
 	Store *Store       // required; must be running
-	Log   platform.Log // required; appends go to it
+	Log   upstream.Log // required; appends go to it
 	// Linger is how long the first proposal of a batch waits for others. Default 20 ms.
 	Linger time.Duration
 	// MaxBatch is the largest number of proposals in one record. Default 512.
@@ -273,7 +273,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, p.cfg.AppendTimeout)
 		defer cancel()
-		_, err := p.cfg.Log.Append(ctx, platform.StreamConfig, [][]byte{data})
+		_, err := p.cfg.Log.Append(ctx, upstream.StreamConfig, [][]byte{data})
 		answer <- err
 	}()
 	return answer
--- a/config/read.go
+++ b/config/read.go
@@ -9,7 +9,7 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // rolloverCheck is how often the store looks for a new local date.
@@ -75,7 +75,7 @@
 		wait = 0
 	}
 	b, err := s.read(ctx, next, s.cfg.ReadLimit, wait)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, upstream.ErrTrimmed) {
 		return s.load(ctx)
 	}
 	if err != nil {
@@ -90,7 +90,7 @@
 	return nil
 }
 
-func (s *Store) position() platform.Offset {
+func (s *Store) position() upstream.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.im.Next
@@ -98,7 +98,7 @@
 
 // foldAll folds records from the store's position on. A gap is an error, because
 // a missing record would make this daemon diverge from the others.
-func (s *Store) foldAll(records []platform.Record) error {
+func (s *Store) foldAll(records []upstream.Record) error {
 	for _, r := range records {
 		next := s.position()
 		if r.Offset < next {
@@ -116,8 +116,8 @@
 
 // read reads once and notes the bounds of the log. A head below the store's
 // position is a stale answer.
-func (s *Store) read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
-	b, err := s.cfg.Log.Read(ctx, platform.StreamConfig, from, limit, wait)
+func (s *Store) read(ctx context.Context, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
+	b, err := s.cfg.Log.Read(ctx, upstream.StreamConfig, from, limit, wait)
 	s.metrics.reads.Inc()
 	for _, r := range b.Records {
 		s.metrics.bytes.Add(float64(len(r.Data)))
@@ -141,10 +141,10 @@
 	if err != nil {
 		return err
 	}
-	var kept []platform.Record
+	var kept []upstream.Record
 	var parts snapshotSet
 	size, complete := 0, true
-	chunk := platform.Offset(s.cfg.ScanChunk)
+	chunk := upstream.Offset(s.cfg.ScanChunk)
 	for hi := head; hi > oldest; chunk *= 2 {
 		lo := oldest
 		if hi-oldest > chunk {
@@ -177,7 +177,7 @@
 	return s.foldAll(kept)
 }
 
-func (s *Store) loadWithoutSnapshot(oldest platform.Offset) error {
+func (s *Store) loadWithoutSnapshot(oldest upstream.Offset) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if oldest == 0 {
@@ -199,7 +199,7 @@
 
 // newestSnapshot returns the newest image that the records complete and that the
 // log can continue.
-func newestSnapshot(parts *snapshotSet, records []platform.Record, oldest platform.Offset) (Image, snapshotMark, bool) {
+func newestSnapshot(parts *snapshotSet, records []upstream.Record, oldest upstream.Offset) (Image, snapshotMark, bool) {
 	var best Image
 	var mark snapshotMark
 	found := false
@@ -213,9 +213,9 @@
 }
 
 // bounds returns the first offset kept and the head.
-func (s *Store) bounds(ctx context.Context) (oldest, head platform.Offset, err error) {
+func (s *Store) bounds(ctx context.Context) (oldest, head upstream.Offset, err error) {
 	b, err := s.read(ctx, s.position(), 1, 0)
-	var trimmed *platform.TrimmedError
+	var trimmed *upstream.TrimmedError
 	if errors.As(err, &trimmed) {
 		b, err = s.read(ctx, trimmed.Oldest, 1, 0)
 	}
@@ -223,10 +223,10 @@
 }
 
 // readRange reads the records from lo to hi, which may take several reads.
-func (s *Store) readRange(ctx context.Context, lo, hi platform.Offset) ([]platform.Record, error) {
-	var out []platform.Record
+func (s *Store) readRange(ctx context.Context, lo, hi upstream.Offset) ([]upstream.Record, error) {
+	var out []upstream.Record
 	for at := lo; at < hi; {
-		b, err := s.read(ctx, at, int(min(hi-at, platform.Offset(s.cfg.ReadLimit))), 0)
+		b, err := s.read(ctx, at, int(min(hi-at, upstream.Offset(s.cfg.ReadLimit))), 0)
 		if err != nil {
 			return nil, err
 		}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 const (
@@ -25,7 +25,7 @@
 	Part  int             `json:"part"` // from 0
 	Parts int             `json:"parts"`
 	Sum   string          `json:"sum"` // SHA-256 of the joined payloads
-	Next  platform.Offset `json:"next"`
+	Next  upstream.Offset `json:"next"`
 	At    time.Time       `json:"at"`
 }
 
@@ -48,7 +48,7 @@
 	if err := json.Unmarshal(plain, &im); err != nil {
 		return Image{}, errors.Wrap(err, "decode image")
 	}
-	if im.State == nil || platform.Offset(im.State.Version) > im.Next {
+	if im.State == nil || upstream.Offset(im.State.Version) > im.Next {
 		return Image{}, errors.New("image has no state or a version beyond its offset")
 	}
 	im.State = im.State.clone() // fills maps that the encoding left out
--- a/config/snapshot_test.go
+++ b/config/snapshot_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 func (d *daemon) snapshotter(t testing.TB, change func(*SnapshotterConfig)) *Snapshotter {
@@ -46,7 +46,7 @@
 	if err := s.Write(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	cut := platform.Offset(10) // the whole snapshot follows the first ten records
+	cut := upstream.Offset(10) // the whole snapshot follows the first ten records
 	v := a.publish(t, 3)
 
 	im, _ := a.Image()
@@ -181,9 +181,9 @@
 		var middle Image
 		n := rapid.IntRange(2, 30).Draw(t, "records")
 		cut := rapid.IntRange(0, n-1).Draw(t, "cut")
-		var records []platform.Record
+		var records []upstream.Record
 		for i := range n {
-			r := platform.Record{Offset: platform.Offset(i), Data: drawRecord(t, im.State)}
+			r := upstream.Record{Offset: upstream.Offset(i), Data: drawRecord(t, im.State)}
 			records = append(records, r)
 			if i == cut {
 				middle = im
--- a/config/snapshotter.go
+++ b/config/snapshotter.go
@@ -10,13 +10,13 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // SnapshotterConfig configures a Snapshotter.
 type SnapshotterConfig struct {
 	Store *Store       // required; must be running
-	Log   platform.Log // required
+	Log   upstream.Log // required
 	// EveryRecords is the number of records after the newest snapshot from which
 	// another is due. It bounds what a start reads. Default 1,000.
 	EveryRecords int
@@ -130,6 +130,6 @@
 func (s *Snapshotter) append(ctx context.Context, r []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.AppendTimeout)
 	defer cancel()
-	_, err := s.cfg.Log.Append(ctx, platform.StreamConfig, [][]byte{r})
+	_, err := s.cfg.Log.Append(ctx, upstream.StreamConfig, [][]byte{r})
 	return err
 }
--- a/config/store.go
+++ b/config/store.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // PeerSource asks other daemons for their configuration.
@@ -17,12 +17,12 @@
 	// Newest returns the newest image of any peer that has folded more than have.
 	// ok is false if peers answered and none has more. The error is of kind
 	// not_ready if no peer answered with a configuration.
-	Newest(ctx context.Context, have platform.Offset) (im Image, ok bool, err error)
+	Newest(ctx context.Context, have upstream.Offset) (im Image, ok bool, err error)
 }
 
 // StoreConfig configures a Store.
 type StoreConfig struct {
-	Log      platform.Log   // required; may read through a relay
+	Log      upstream.Log   // required; may read through a relay
 	Location *time.Location // required; time zone of the deployment
 	// Peers is asked while the log cannot be read. Nil means no peers.
 	Peers PeerSource
@@ -71,8 +71,8 @@
 type InForce struct {
 	Version Version
 	Since   time.Time       // when this daemon put it in force
-	Next    platform.Offset // every record below it is folded
-	Head    platform.Offset // head of the log at the last successful read
+	Next    upstream.Offset // every record below it is folded
+	Head    upstream.Offset // head of the log at the last successful read
 	Ready   bool
 	LogErr  error // last read failed with it; nil while the log can be read
 	Stalled error // the fold stopped at a record that it cannot read
@@ -89,8 +89,8 @@
 	started  bool   // im comes from the log or a peer
 	ready    bool
 	since    time.Time
-	head     platform.Offset
-	oldest   platform.Offset
+	head     upstream.Offset
+	oldest   upstream.Offset
 	logErr   error
 	stalled  error
 	snapshot snapshotMark
@@ -101,7 +101,7 @@
 
 // snapshotMark describes the newest complete snapshot that was seen in the log.
 type snapshotMark struct {
-	next  platform.Offset
+	next  upstream.Offset
 	at    time.Time
 	parts int   // records of the snapshot itself
 	bytes int64 // bytes of change records folded since
@@ -186,7 +186,7 @@
 }
 
 // foldRecord applies the record at the expected offset.
-func (s *Store) foldRecord(r platform.Record) error {
+func (s *Store) foldRecord(r upstream.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noteSnapshot(r)
@@ -222,7 +222,7 @@
 }
 
 // noteSnapshot remembers the newest complete snapshot of the log.
-func (s *Store) noteSnapshot(r platform.Record) {
+func (s *Store) noteSnapshot(r upstream.Record) {
 	if im, head, ok := s.parts.add(r.Data); ok && im.Next >= s.snapshot.next {
 		s.snapshot = snapshotMark{next: im.Next, at: head.At, parts: head.Parts}
 	}
--- a/config/types.go
+++ b/config/types.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
@@ -15,7 +15,7 @@
 type Version uint64
 
 // VersionAt returns the version produced by the record at offset o.
-func VersionAt(o platform.Offset) Version { return Version(o) + 1 }
+func VersionAt(o upstream.Offset) Version { return Version(o) + 1 }
 
 // Limit bounds the requests of one customer and class.
 type Limit struct {
--- a/contract/balance.go
+++ b/contract/balance.go
@@ -8,7 +8,7 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // balanceLoop keeps the electorates of the owned keys up to date and hands keys
@@ -68,7 +68,7 @@
 }
 
 func (c *Claimer) appendElectorate(ctx context.Context, rec electorateRecord) {
-	e, err := platform.NewEnvelope(kindElectorate, rec)
+	e, err := upstream.NewEnvelope(kindElectorate, rec)
 	if err != nil {
 		return
 	}
@@ -150,12 +150,12 @@
 
 // appendReleases appends the records and those of others in one append. If they are certainly not in
 // the log, this daemon serves the keys again.
-func (c *Claimer) appendReleases(ctx context.Context, recs []releaseRecord, others ...platform.Envelope) error {
-	group := make([]platform.Envelope, 0, len(recs))
+func (c *Claimer) appendReleases(ctx context.Context, recs []releaseRecord, others ...upstream.Envelope) error {
+	group := make([]upstream.Envelope, 0, len(recs))
 	c.announce(ctx, recs)
 	c.mu.Lock()
 	for _, rec := range recs {
-		e, err := platform.NewEnvelope(kindRelease, rec)
+		e, err := upstream.NewEnvelope(kindRelease, rec)
 		if err != nil {
 			c.mu.Unlock()
 			return err
@@ -209,7 +209,7 @@
 	}
 	recs := c.stopAndRelease(byTarget)
 	c.mu.Unlock()
-	e, err := platform.NewEnvelope(kindDrain, leaveRecord{c.self.ID, c.cfg.Incarnation})
+	e, err := upstream.NewEnvelope(kindDrain, leaveRecord{c.self.ID, c.cfg.Incarnation})
 	if err != nil {
 		return err
 	}
@@ -219,7 +219,7 @@
 // Leave appends the leave record, after which the other daemons end the contact.
 // It must come after Drain and after the open calls are finished.
 func (c *Claimer) Leave(ctx context.Context) error {
-	e, err := platform.NewEnvelope(kindLeave, leaveRecord{c.self.ID, c.cfg.Incarnation})
+	e, err := upstream.NewEnvelope(kindLeave, leaveRecord{c.self.ID, c.cfg.Incarnation})
 	if err != nil {
 		return err
 	}
@@ -231,7 +231,7 @@
 // daemon of rank r of the cell waits for r more shares, so that usually one does.
 func (c *Claimer) snapshotLoop(ctx context.Context) error {
 	var newSince time.Time
-	var through platform.Offset
+	var through upstream.Offset
 	for ctx.Err() == nil {
 		pause.For(ctx, c.cfg.Tick)
 		now := time.Now()
--- a/contract/bench_test.go
+++ b/contract/bench_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -82,7 +82,7 @@
 		c := newCell(b, standin.LogConfig{})
 		c.configure = func(cfg *contract.Config) { cfg.SnapshotInterval = time.Hour }
 		for i := range 48 {
-			c.hosts.Set(platform.Host{ID: fmt.Sprintf("w%d", i), Kind: platform.WorkerHost, Zone: "lom-monza", Rack: fmt.Sprint(i), State: platform.Live})
+			c.hosts.Set(upstream.Host{ID: fmt.Sprintf("w%d", i), Kind: upstream.WorkerHost, Zone: "lom-monza", Rack: fmt.Sprint(i), State: upstream.Live})
 		}
 		var ds []*daemon
 		for i := range 4 {
@@ -91,12 +91,12 @@
 		const keys = 48 + 8
 		eventually(b, "all keys held", func() bool { return held(ds...) == keys })
 		c.waitElectorate()
-		victim, from, before := ds[0], c.head(), c.log.Appends(platform.StreamControl)
+		victim, from, before := ds[0], c.head(), c.log.Appends(upstream.StreamControl)
 		moved += len(victim.claimer.Held())
 		victim.stop()
 		eventually(b, "keys taken over", func() bool { return held(ds[1:]...) == keys })
-		appends += c.log.Appends(platform.StreamControl) - before
-		got, err := platform.NewLogClient(platform.ClientConfig{BaseURL: c.logURL}).Read(b.Context(), platform.StreamControl, from, 1000, 0)
+		appends += c.log.Appends(upstream.StreamControl) - before
+		got, err := upstream.NewLogClient(upstream.ClientConfig{BaseURL: c.logURL}).Read(b.Context(), upstream.StreamControl, from, 1000, 0)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/contract/book.go
+++ b/contract/book.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"slices"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // KeyState is what the log says about a key.
@@ -21,25 +21,25 @@
 // Book folds the records of stream control. Every reader folds the same records
 // in the same order to the same Book. It is not safe for concurrent use.
 type Book struct {
-	start   platform.Offset // first offset that was read
-	next    platform.Offset
+	start   upstream.Offset // first offset that was read
+	next    upstream.Offset
 	ready   bool
 	keys    map[Key]KeyState
 	daemons map[string]Daemon
 	grants  map[Key][]GrantedSpan
 
 	// Records seen before a usable snapshot; only while not ready.
-	waiting []platform.Record
+	waiting []upstream.Record
 	parts   []snapshotPart // of the snapshot that is being read
 
-	snapshotThrough platform.Offset // of the newest complete snapshot
+	snapshotThrough upstream.Offset // of the newest complete snapshot
 	snapshotSeen    bool
 	lastID          string // id of the record that was folded last
 }
 
 // NewBook returns a Book for the records from offset from on. From zero it is
 // ready at once, else only when it has found a snapshot.
-func NewBook(from platform.Offset) *Book {
+func NewBook(from upstream.Offset) *Book {
 	b := &Book{start: from, next: from, ready: from == 0}
 	b.clear()
 	return b
@@ -52,7 +52,7 @@
 }
 
 // Next returns the offset of the next record to fold.
-func (b *Book) Next() platform.Offset { return b.next }
+func (b *Book) Next() upstream.Offset { return b.next }
 
 // Ready reports whether the Book holds the full state below Next.
 func (b *Book) Ready() bool { return b.ready }
@@ -68,12 +68,12 @@
 
 // Apply folds one record. Records that cannot be decoded or are not valid at
 // their position have no effect.
-func (b *Book) Apply(r platform.Record) {
+func (b *Book) Apply(r upstream.Record) {
 	if r.Offset < b.next {
 		return
 	}
 	b.next = r.Offset + 1
-	e, ok := platform.DecodeEnvelope(r.Data)
+	e, ok := upstream.DecodeEnvelope(r.Data)
 	if !ok {
 		b.parts = nil
 		return
@@ -91,7 +91,7 @@
 	b.fold(uint64(r.Offset)+1, e)
 }
 
-func (b *Book) fold(at uint64, e platform.Envelope) {
+func (b *Book) fold(at uint64, e upstream.Envelope) {
 	switch e.Kind {
 	case kindClaim:
 		decodeInto(e.Body, func(c claimRecord) { b.foldClaim(at, c) })
--- a/contract/book_test.go
+++ b/contract/book_test.go
@@ -8,31 +8,31 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // testLog collects records and folds them as they are added.
 type testLog struct {
-	records []platform.Record
+	records []upstream.Record
 	book    *Book
 }
 
 func newTestLog() *testLog { return &testLog{book: NewBook(0)} }
 
 func (l *testLog) add(kind string, v any) {
-	e, err := platform.NewEnvelope(kind, v)
+	e, err := upstream.NewEnvelope(kind, v)
 	if err != nil {
 		panic(err)
 	}
 	l.addEnvelope(e)
 }
 
-func (l *testLog) addEnvelope(e platform.Envelope) {
+func (l *testLog) addEnvelope(e upstream.Envelope) {
 	data, err := e.Encode()
 	if err != nil {
 		panic(err)
 	}
-	r := platform.Record{Offset: platform.Offset(len(l.records)), Data: data}
+	r := upstream.Record{Offset: upstream.Offset(len(l.records)), Data: data}
 	l.records = append(l.records, r)
 	l.book.Apply(r)
 }
@@ -48,7 +48,7 @@
 }
 
 func (l *testLog) readFrom(from int) *Book {
-	b := NewBook(platform.Offset(from))
+	b := NewBook(upstream.Offset(from))
 	for _, r := range l.records[from:] {
 		b.Apply(r)
 	}
--- a/contract/capacity_bench_test.go
+++ b/contract/capacity_bench_test.go
@@ -5,7 +5,7 @@
 	"runtime"
 	"testing"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 func liveBytes() float64 {
@@ -16,8 +16,8 @@
 	return float64(m.HeapAlloc)
 }
 
-func controlRecord(b *testing.B, at platform.Offset, kind string, body any) platform.Record {
-	e, err := platform.NewEnvelope(kind, body)
+func controlRecord(b *testing.B, at upstream.Offset, kind string, body any) upstream.Record {
+	e, err := upstream.NewEnvelope(kind, body)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -25,12 +25,12 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	return platform.Record{Offset: at, Data: data}
+	return upstream.Record{Offset: at, Data: data}
 }
 
 // ownedBook returns a Book in which daemons, the electorate of all, own keys.
-func ownedBook(b *testing.B, keys, daemons int) (*Book, platform.Offset) {
-	book, at := NewBook(0), platform.Offset(0)
+func ownedBook(b *testing.B, keys, daemons int) (*Book, upstream.Offset) {
+	book, at := NewBook(0), upstream.Offset(0)
 	electorate := make([]string, daemons)
 	for i := range electorate {
 		electorate[i] = fmt.Sprintf("daemon-%02d", i)
--- a/contract/cell_test.go
+++ b/contract/cell_test.go
@@ -16,7 +16,7 @@
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -69,7 +69,7 @@
 		hostServer.Close()
 	})
 	for i := range 4 {
-		c.hosts.Set(platform.Host{ID: fmt.Sprintf("w%d", i), Kind: platform.WorkerHost, Zone: "lom-bergamo", Rack: fmt.Sprintf("r%d", i), State: platform.Live})
+		c.hosts.Set(upstream.Host{ID: fmt.Sprintf("w%d", i), Kind: upstream.WorkerHost, Zone: "lom-bergamo", Rack: fmt.Sprintf("r%d", i), State: upstream.Live})
 	}
 	return c
 }
@@ -124,10 +124,10 @@
 		ProbeTimeout: 200 * time.Millisecond, DialTimeout: 200 * time.Millisecond, Stability: 500 * time.Millisecond,
 		StabilityMax: 10 * time.Second, Dial: c.dial(d)})
 	client := &http.Client{Transport: gatedTransport{&d.logCut, &http.Transport{DialContext: d.dialLog}}}
-	direct := platform.NewLogClient(platform.ClientConfig{BaseURL: c.logURL, HTTP: client})
+	direct := upstream.NewLogClient(upstream.ClientConfig{BaseURL: c.logURL, HTTP: client})
 	cfg := contract.Config{Members: d.members, Incarnation: incarnation,
 		Log:   link.NewLog(link.LogConfig{Direct: direct, Peers: d.members, LogRegion: "lombardy"}),
-		Hosts: platform.NewHostClient(platform.ClientConfig{BaseURL: c.hostsURL}), Topology: c.topology,
+		Hosts: upstream.NewHostClient(upstream.ClientConfig{BaseURL: c.hostsURL}), Topology: c.topology,
 		JobShards: 4, IDShards: 4, Tenure: 500 * time.Millisecond, TakeoverWait: 700 * time.Millisecond, RankDelay: 150 * time.Millisecond,
 		Tick: 20 * time.Millisecond, PollWait: 100 * time.Millisecond, HostsInterval: 100 * time.Millisecond, BalanceInterval: 300 * time.Millisecond,
 		SettleTimeout: 400 * time.Millisecond, SnapshotRecords: 1000}
@@ -147,7 +147,7 @@
 	}
 	c.daemons[fmt.Sprint(id, "#", incarnation)] = d
 	c.byAddress.Store(self.Address, d)
-	c.hosts.Set(platform.Host{ID: id, Kind: platform.DaemonHost, Address: self.Address, Zone: z, State: platform.Live})
+	c.hosts.Set(upstream.Host{ID: id, Kind: upstream.DaemonHost, Address: self.Address, Zone: z, State: upstream.Live})
 	d.run(d.server.Run, d.members.Run, d.claimer.Run, d.grants.Run)
 	return d
 }
--- a/contract/chaos_test.go
+++ b/contract/chaos_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // twoOwners looks for a key for which two daemons have tenure at one moment: the
@@ -139,7 +139,7 @@
 	eventually(t, "x gets keys", func() bool { return len(fresh[0].claimer.Held()) > 0 })
 	for i, d := range old {
 		d.stop()
-		c.hosts.Set(platform.Host{ID: d.id, Kind: platform.DaemonHost, Zone: "lom-bergamo", State: platform.Gone})
+		c.hosts.Set(upstream.Host{ID: d.id, Kind: upstream.DaemonHost, Zone: "lom-bergamo", State: upstream.Gone})
 		if i == 0 {
 			fresh = append(fresh, c.start("y", "lom-monza", 1))
 			eventually(t, "y gets keys", func() bool { return len(fresh[1].claimer.Held()) > 0 })
--- a/contract/claimer.go
+++ b/contract/claimer.go
@@ -12,7 +12,7 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // readLimit is the number of records per read of the control stream.
@@ -22,7 +22,7 @@
 type Claimer struct {
 	cfg    Config
 	self   link.Member
-	writer *platform.Writer
+	writer *upstream.Writer
 
 	mu        sync.Mutex
 	book      *Book
@@ -70,7 +70,7 @@
 	}
 	c := &Claimer{
 		cfg: cfg, self: cfg.Members.Self(), book: NewBook(0),
-		writer: platform.NewWriter(platform.WriterConfig{Log: cfg.Log, Stream: platform.StreamControl,
+		writer: upstream.NewWriter(upstream.WriterConfig{Log: cfg.Log, Stream: upstream.StreamControl,
 			Linger: cfg.Linger, SettleTimeout: cfg.SettleTimeout, Logger: cfg.Logger}),
 		gone: make(map[string]bool), leaving: make(map[string]bool), hosts: make(map[string]link.Member),
 		promises: make(map[Key]time.Time), promised: make(map[Key]time.Time),
@@ -108,7 +108,7 @@
 		c.mu.Unlock()
 		start := time.Now()
 		b, age, err := c.read(ctx, from)
-		var trimmed *platform.TrimmedError
+		var trimmed *upstream.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
 			c.mu.Lock()
@@ -124,15 +124,15 @@
 	return nil
 }
 
-func (c *Claimer) read(ctx context.Context, from platform.Offset) (platform.Batch, time.Duration, error) {
-	if aged, ok := c.cfg.Log.(platform.AgedReader); ok {
-		return aged.ReadAged(ctx, platform.StreamControl, from, readLimit, c.cfg.PollWait)
+func (c *Claimer) read(ctx context.Context, from upstream.Offset) (upstream.Batch, time.Duration, error) {
+	if aged, ok := c.cfg.Log.(upstream.AgedReader); ok {
+		return aged.ReadAged(ctx, upstream.StreamControl, from, readLimit, c.cfg.PollWait)
 	}
-	b, err := c.cfg.Log.Read(ctx, platform.StreamControl, from, readLimit, c.cfg.PollWait)
+	b, err := c.cfg.Log.Read(ctx, upstream.StreamControl, from, readLimit, c.cfg.PollWait)
 	return b, 0, err
 }
 
-func (c *Claimer) applyBatch(book *Book, b platform.Batch, asOf time.Time) {
+func (c *Claimer) applyBatch(book *Book, b upstream.Batch, asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.book.keys
@@ -212,7 +212,7 @@
 		due := !c.joined && !c.draining && c.book.Ready() && !c.confirmed.IsZero()
 		c.mu.Unlock()
 		if due {
-			e, err := platform.NewEnvelope(kindJoin, Daemon{ID: c.self.ID, Incarnation: c.cfg.Incarnation,
+			e, err := upstream.NewEnvelope(kindJoin, Daemon{ID: c.self.ID, Incarnation: c.cfg.Incarnation,
 				Address: c.self.Address, Zone: c.self.Zone, Region: c.self.Region})
 			if err != nil {
 				return err
--- a/contract/config.go
+++ b/contract/config.go
@@ -6,7 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -23,8 +23,8 @@
 type Config struct {
 	Members     Membership        // required
 	Incarnation uint64            // the same as that of Members; required
-	Log         platform.Log      // required; may be a link.Log
-	Hosts       platform.HostList // required
+	Log         upstream.Log      // required; may be a link.Log
+	Hosts       upstream.HostList // required
 	Topology    *zone.Topology    // required
 	// JobShards and IDShards are the numbers of shards per region. Default 4 each.
 	JobShards, IDShards int
--- a/contract/decide.go
+++ b/contract/decide.go
@@ -10,7 +10,7 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // claimLoop claims vacant keys, all that are due in one record, and tells the
@@ -40,7 +40,7 @@
 
 // claim appends the record and settles what is known of it.
 func (c *Claimer) claim(ctx context.Context, rec claimRecord) {
-	e, err := platform.NewEnvelope(kindClaim, rec)
+	e, err := upstream.NewEnvelope(kindClaim, rec)
 	if err != nil {
 		return
 	}
--- a/contract/example_test.go
+++ b/contract/example_test.go
@@ -10,7 +10,7 @@
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -34,11 +34,11 @@
 		Self:        link.Member{ID: "a", Address: listener.Addr().String(), Zone: "lom-bergamo", Region: "lombardy"},
 		Incarnation: incarnation, Topology: topology, Counters: counters,
 	})
-	direct := platform.NewLogClient(platform.ClientConfig{BaseURL: logServer.URL})
+	direct := upstream.NewLogClient(upstream.ClientConfig{BaseURL: logServer.URL})
 	claimer, err := contract.NewClaimer(contract.Config{
 		Members: members, Incarnation: incarnation, Topology: topology, JobShards: 1, IDShards: 1,
 		Log:   link.NewLog(link.LogConfig{Direct: direct, Peers: members, LogRegion: "lombardy"}),
-		Hosts: platform.NewHostClient(platform.ClientConfig{BaseURL: hostServer.URL}),
+		Hosts: upstream.NewHostClient(upstream.ClientConfig{BaseURL: hostServer.URL}),
 	})
 	if err != nil {
 		fmt.Println(err)
--- a/contract/grants.go
+++ b/contract/grants.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // grantMemory is how long the spans of former recorders are kept before the end
@@ -201,7 +201,7 @@
 
 // due returns the grants to append now, in one batch, and their shards. A grant whose outcome is
 // unknown may be appended again: the fold voids the one that would overlap.
-func (g *Grants) due() (group []platform.Envelope, keys []Key, err error) {
+func (g *Grants) due() (group []upstream.Envelope, keys []Key, err error) {
 	g.c.mu.Lock()
 	defer g.c.mu.Unlock()
 	now := g.cfg.Now()
@@ -217,7 +217,7 @@
 		if !ok {
 			continue
 		}
-		e, err := platform.NewEnvelope(kindGrant, rec)
+		e, err := upstream.NewEnvelope(kindGrant, rec)
 		if err != nil {
 			return nil, []Key{k}, err
 		}
--- a/contract/grants_cell_test.go
+++ b/contract/grants_cell_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 func shards() []contract.Key {
@@ -64,7 +64,7 @@
 			}
 		}
 	}
-	c.hosts.Set(platform.Host{ID: victim.id, Kind: platform.DaemonHost, Zone: "lom-bergamo", State: platform.Gone})
+	c.hosts.Set(upstream.Host{ID: victim.id, Kind: upstream.DaemonHost, Zone: "lom-bergamo", State: upstream.Gone})
 	// The cut is MintAhead + ClockSkew after now, far before the end of the 120 s grant.
 	for k := range old {
 		eventually(t, "span of "+string(k)+" is cut", func() bool {
--- a/contract/hosts.go
+++ b/contract/hosts.go
@@ -7,7 +7,7 @@
 
 	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -25,18 +25,18 @@
 	return nil
 }
 
-func (c *Claimer) applyHosts(hosts []platform.Host) {
+func (c *Claimer) applyHosts(hosts []upstream.Host) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hostsOK = true
 	c.gone, c.leaving, c.hosts = make(map[string]bool), make(map[string]bool), make(map[string]link.Member)
 	for _, h := range hosts {
-		if h.Kind != platform.DaemonHost {
+		if h.Kind != upstream.DaemonHost {
 			continue
 		}
 		region, _ := c.cfg.Topology.Region(h.Zone)
-		c.gone[h.ID] = h.State == platform.Gone
-		c.leaving[h.ID] = h.State == platform.Leaving
+		c.gone[h.ID] = h.State == upstream.Gone
+		c.leaving[h.ID] = h.State == upstream.Leaving
 		c.hosts[h.ID] = link.Member{ID: h.ID, Address: h.Address, Zone: h.Zone, Region: region}
 	}
 	c.keys = KeySet(hosts, c.cfg.Topology, c.self.Region, c.cfg.JobShards, c.cfg.IDShards)
@@ -72,16 +72,16 @@
 
 // KeySet returns the keys of a region: the racks and executor groups on the host
 // list, and the job and id shards.
-func KeySet(hosts []platform.Host, t *zone.Topology, r zone.Region, jobShards, idShards int) []Key {
+func KeySet(hosts []upstream.Host, t *zone.Topology, r zone.Region, jobShards, idShards int) []Key {
 	var keys []Key
 	for _, h := range hosts {
-		if region, ok := t.Region(h.Zone); !ok || region != r || h.State == platform.Gone {
+		if region, ok := t.Region(h.Zone); !ok || region != r || h.State == upstream.Gone {
 			continue
 		}
 		switch {
-		case h.Kind == platform.WorkerHost && h.Rack != "":
+		case h.Kind == upstream.WorkerHost && h.Rack != "":
 			keys = append(keys, RackKey(h.Zone, h.Rack))
-		case h.Kind == platform.ExecutorHost && h.Group != "":
+		case h.Kind == upstream.ExecutorHost && h.Group != "":
 			keys = append(keys, ExecKey(h.Zone, h.Group))
 		}
 	}
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -6,7 +6,7 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // keysPerPart bounds the size of one snapshot record to some 100 KB.
@@ -14,7 +14,7 @@
 
 // Snapshot returns the records that hold the fold of all records below Next. They
 // must be appended contiguously.
-func (b *Book) Snapshot() ([]platform.Envelope, error) {
+func (b *Book) Snapshot() ([]upstream.Envelope, error) {
 	names := make([]Key, 0, len(b.keys))
 	for k := range b.keys {
 		names = append(names, k)
@@ -22,7 +22,7 @@
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
 	id := ulid.Make().String()
 	n := max(1, (len(names)+keysPerPart-1)/keysPerPart)
-	out := make([]platform.Envelope, 0, n)
+	out := make([]upstream.Envelope, 0, n)
 	for i := range n {
 		p := snapshotPart{ID: id, Through: uint64(b.next), Part: i, Parts: n, Keys: make(map[Key]KeyState)}
 		for _, k := range names[min(len(names), i*keysPerPart):min(len(names), (i+1)*keysPerPart)] {
@@ -31,7 +31,7 @@
 		if i == 0 {
 			p.Daemons, p.Grants = b.daemons, b.grants
 		}
-		e, err := platform.NewEnvelope(kindSnapshot, p)
+		e, err := upstream.NewEnvelope(kindSnapshot, p)
 		if err != nil {
 			return nil, err
 		}
@@ -64,15 +64,15 @@
 	if !b.ready {
 		b.load(parts)
 	}
-	if b.ready && platform.Offset(p.Through) >= b.snapshotThrough {
-		b.snapshotThrough, b.snapshotSeen = platform.Offset(p.Through), true
+	if b.ready && upstream.Offset(p.Through) >= b.snapshotThrough {
+		b.snapshotThrough, b.snapshotSeen = upstream.Offset(p.Through), true
 	}
 }
 
 // load starts from a snapshot and folds the records that were read before it but
 // come after its position. It does nothing if some of those were trimmed.
 func (b *Book) load(parts []snapshotPart) {
-	through := platform.Offset(parts[0].Through)
+	through := upstream.Offset(parts[0].Through)
 	if through < b.start {
 		return
 	}
@@ -92,7 +92,7 @@
 	waiting := b.waiting
 	b.waiting = nil
 	for _, r := range waiting {
-		if e, ok := platform.DecodeEnvelope(r.Data); ok && r.Offset >= through {
+		if e, ok := upstream.DecodeEnvelope(r.Data); ok && r.Offset >= through {
 			b.fold(uint64(r.Offset)+1, e)
 		}
 	}
--- a/contract/takeover_test.go
+++ b/contract/takeover_test.go
@@ -9,7 +9,7 @@
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // keysOfCell is 4 racks, 4 job shards and 4 id shards.
@@ -30,14 +30,14 @@
 
 // claims returns how many claim records of a daemon are in the log.
 func (c *cell) claims(id string) int {
-	client := platform.NewLogClient(platform.ClientConfig{BaseURL: c.logURL})
-	b, err := client.Read(context.Background(), platform.StreamControl, 0, 10000, 0)
+	client := upstream.NewLogClient(upstream.ClientConfig{BaseURL: c.logURL})
+	b, err := client.Read(context.Background(), upstream.StreamControl, 0, 10000, 0)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	n := 0
 	for _, r := range b.Records {
-		e, ok := platform.DecodeEnvelope(r.Data)
+		e, ok := upstream.DecodeEnvelope(r.Data)
 		var body struct{ Daemon string }
 		if ok && e.Kind == "claim" && json.Unmarshal(e.Body, &body) == nil && body.Daemon == id {
 			n++
@@ -111,7 +111,7 @@
 	c.settled(a, b)
 	owners := make(map[contract.Key]contract.Epoch)
 	eventually(t, "log is trimmed", func() bool {
-		c.appendNoise(platform.NewLogClient(platform.ClientConfig{BaseURL: c.logURL}))
+		c.appendNoise(upstream.NewLogClient(upstream.ClientConfig{BaseURL: c.logURL}))
 		return c.head() > 40
 	})
 	for _, k := range a.claimer.Held() {
@@ -131,8 +131,8 @@
 }
 
 // appendNoise appends a record that no reader knows.
-func (c *cell) appendNoise(client *platform.LogClient) {
-	if _, err := client.Append(context.Background(), platform.StreamControl, [][]byte{[]byte(`{"id":"x","kind":"noise"}`)}); err != nil {
+func (c *cell) appendNoise(client *upstream.LogClient) {
+	if _, err := client.Append(context.Background(), upstream.StreamControl, [][]byte{[]byte(`{"id":"x","kind":"noise"}`)}); err != nil {
 		c.t.Fatal(err)
 	}
 }
--- a/contract/tenure_test.go
+++ b/contract/tenure_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // tenures is long enough for any tenure given before to have passed.
@@ -16,7 +16,7 @@
 // settled returns once every key has a holder and no epoch has changed for a while.
 func (c *cell) settled(ds ...*daemon) {
 	c.t.Helper()
-	last, since := platform.Offset(0), time.Now()
+	last, since := upstream.Offset(0), time.Now()
 	hold := holdAll(keysOfCell, ds...)
 	eventually(c.t, "all keys held and no new records", func() bool {
 		if head := c.head(); head != last || !hold() {
@@ -26,8 +26,8 @@
 	})
 }
 
-func (c *cell) head() platform.Offset {
-	head, err := platform.Head(context.Background(), platform.NewLogClient(platform.ClientConfig{BaseURL: c.logURL}), platform.StreamControl)
+func (c *cell) head() upstream.Offset {
+	head, err := upstream.Head(context.Background(), upstream.NewLogClient(upstream.ClientConfig{BaseURL: c.logURL}), upstream.StreamControl)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -72,7 +72,7 @@
 		t.Errorf("%d keys held while a member is silent", n)
 	}
 	own := c.owned(a) + c.owned(b)
-	c.hosts.Set(platform.Host{ID: "d", Kind: platform.DaemonHost, Zone: "lom-bergamo", State: platform.Gone})
+	c.hosts.Set(upstream.Host{ID: "d", Kind: upstream.DaemonHost, Zone: "lom-bergamo", State: upstream.Gone})
 	eventually(t, "keys held again when the member is gone", holdAll(own, a, b))
 }
 
--- a/daemon/adapters.go
+++ b/daemon/adapters.go
@@ -11,7 +11,7 @@
 
 	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/contract"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
@@ -22,18 +22,18 @@
 
 // cachedHosts shares one read of the host list between the parts of the daemon.
 type cachedHosts struct {
-	from  platform.HostList
+	from  upstream.HostList
 	every time.Duration
 	log   zerolog.Logger
 
 	mu     sync.Mutex
 	at     time.Time
-	hosts  []platform.Host
+	hosts  []upstream.Host
 	failed bool // the last read failed
 }
 
-// Hosts implements platform.HostList. The result must not be changed.
-func (h *cachedHosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements upstream.HostList. The result must not be changed.
+func (h *cachedHosts) Hosts(ctx context.Context) ([]upstream.Host, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.hosts != nil && time.Since(h.at) < h.every {
@@ -67,12 +67,12 @@
 
 // drainedHosts shows hosts that the configuration drains as leaving.
 type drainedHosts struct {
-	from platform.HostList
+	from upstream.HostList
 	view config.View
 }
 
-// Hosts implements platform.HostList.
-func (h *drainedHosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements upstream.HostList.
+func (h *drainedHosts) Hosts(ctx context.Context) ([]upstream.Host, error) {
 	hosts, err := h.from.Hosts(ctx)
 	if err != nil {
 		return nil, err
@@ -81,17 +81,17 @@
 	if len(drains) == 0 {
 		return hosts, nil
 	}
-	out := make([]platform.Host, len(hosts))
+	out := make([]upstream.Host, len(hosts))
 	copy(out, hosts)
 	for i := range out {
-		if out[i].State == platform.Live && drained(drains, &out[i]) {
-			out[i].State = platform.Leaving
+		if out[i].State == upstream.Live && drained(drains, &out[i]) {
+			out[i].State = upstream.Leaving
 		}
 	}
 	return out, nil
 }
 
-func drained(drains map[string]config.Drain, h *platform.Host) bool {
+func drained(drains map[string]config.Drain, h *upstream.Host) bool {
 	if _, ok := drains[h.ID]; ok {
 		return true
 	}
--- a/daemon/adapters_test.go
+++ b/daemon/adapters_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // failingHosts is a host list that fails as long as err is set.
 type failingHosts struct{ err error }
 
-func (f *failingHosts) Hosts(context.Context) ([]platform.Host, error) {
-	return []platform.Host{{ID: "w1"}}, f.err
+func (f *failingHosts) Hosts(context.Context) ([]upstream.Host, error) {
+	return []upstream.Host{{ID: "w1"}}, f.err
 }
 
 // Guards against a line per failed read during an outage of the host list, an outage
--- a/daemon/api_cell.go
+++ b/daemon/api_cell.go
@@ -14,8 +14,8 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/job"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/request"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -119,7 +119,7 @@
 
 // keys returns the keys of the region with their owners.
 func (d *Daemon) keys(ctx context.Context) ([]KeyOwner, error) {
-	hosts, err := do.MustInvoke[platform.HostList](d.injector).Hosts(ctx)
+	hosts, err := do.MustInvoke[upstream.HostList](d.injector).Hosts(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -18,15 +18,15 @@
 	"github.com/sassafraslb/sassafraslb/job"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/placement"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/request"
 	"github.com/sassafraslb/sassafraslb/rpc"
 	"github.com/sassafraslb/sassafraslb/settings"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // directLog is the log without relay.
-type directLog struct{ platform.Log }
+type directLog struct{ upstream.Log }
 
 // incarnation grows with every start of the daemon.
 type incarnation uint64
@@ -160,13 +160,13 @@
 
 func provideDirectLog(i do.Injector) (directLog, error) {
 	set := do.MustInvoke[*settings.Settings](i)
-	return directLog{platform.NewLogClient(platform.ClientConfig{
+	return directLog{upstream.NewLogClient(upstream.ClientConfig{
 		BaseURL: set.LogURL, Timeout: set.Platform.LogTimeout.Std(),
 		HTTP: countingClient(do.MustInvoke[*link.Counters](i), logDistance(set)),
 	})}, nil
 }
 
-func provideLog(i do.Injector) (platform.Log, error) {
+func provideLog(i do.Injector) (upstream.Log, error) {
 	set := do.MustInvoke[*settings.Settings](i)
 	return link.NewLog(link.LogConfig{
 		Direct: do.MustInvoke[directLog](i).Log, Peers: do.MustInvoke[*link.Members](i), LogRegion: set.LogRegion,
@@ -179,9 +179,9 @@
 	}), nil
 }
 
-func provideHosts(i do.Injector) (platform.HostList, error) {
+func provideHosts(i do.Injector) (upstream.HostList, error) {
 	set := do.MustInvoke[*settings.Settings](i)
-	client := platform.NewHostClient(platform.ClientConfig{
+	client := upstream.NewHostClient(upstream.ClientConfig{
 		BaseURL: set.HostsURL, HTTP: countingClient(do.MustInvoke[*link.Counters](i), logDistance(set)),
 	})
 	return &cachedHosts{from: client, every: set.Platform.HostsEvery.Std(), log: do.MustInvoke[zerolog.Logger](i)}, nil
@@ -193,8 +193,8 @@
 	return contract.NewClaimer(contract.Config{
 		Members:         do.MustInvoke[*link.Members](i),
 		Incarnation:     uint64(do.MustInvoke[incarnation](i)),
-		Log:             do.MustInvoke[platform.Log](i),
-		Hosts:           do.MustInvoke[platform.HostList](i),
+		Log:             do.MustInvoke[upstream.Log](i),
+		Hosts:           do.MustInvoke[upstream.HostList](i),
 		Topology:        do.MustInvoke[*zone.Topology](i),
 		JobShards:       set.JobShards,
 		IDShards:        set.IDShards,
@@ -220,7 +220,7 @@
 
 func provideStore(i do.Injector) (*config.Store, error) {
 	return config.NewStore(config.StoreConfig{
-		Log: do.MustInvoke[platform.Log](i), Location: do.MustInvoke[*time.Location](i),
+		Log: do.MustInvoke[upstream.Log](i), Location: do.MustInvoke[*time.Location](i),
 		Peers: do.MustInvoke[*config.Peers](i), Logger: do.MustInvoke[zerolog.Logger](i),
 		ReadWait: configReadWait, Registerer: do.MustInvoke[*prometheus.Registry](i),
 	})
@@ -260,7 +260,7 @@
 	set := do.MustInvoke[*settings.Settings](i)
 	return job.NewRack(job.RackConfig{
 		Ownership: do.MustInvoke[*contract.Claimer](i), Peers: do.MustInvoke[*link.Members](i),
-		Hosts:    &drainedHosts{from: do.MustInvoke[platform.HostList](i), view: do.MustInvoke[*config.Store](i)},
+		Hosts:    &drainedHosts{from: do.MustInvoke[upstream.HostList](i), view: do.MustInvoke[*config.Store](i)},
 		Topology: do.MustInvoke[*zone.Topology](i), Region: set.Region(), NewEngine: newEngine(set),
 		Shards: set.JobShards, Lease: set.Tasks.Lease.Std(), RenewEvery: set.Tasks.Renew.Std(),
 		HostsEvery: set.Platform.HostsEvery.Std(), Drift: set.Ownership.ClockDrift,
@@ -272,7 +272,7 @@
 	set := do.MustInvoke[*settings.Settings](i)
 	return job.NewScheduler(job.SchedulerConfig{
 		Ownership: do.MustInvoke[*contract.Claimer](i), Peers: do.MustInvoke[*link.Members](i),
-		Hosts: do.MustInvoke[platform.HostList](i), Log: do.MustInvoke[directLog](i).Log,
+		Hosts: do.MustInvoke[upstream.HostList](i), Log: do.MustInvoke[directLog](i).Log,
 		Topology: do.MustInvoke[*zone.Topology](i), Region: set.Region(),
 		Intentions: &intentions{view: do.MustInvoke[*config.Store](i), loc: do.MustInvoke[*time.Location](i)},
 		NewEngine:  newEngine(set), Shards: set.JobShards, HostsEvery: set.Platform.HostsEvery.Std(),
@@ -285,7 +285,7 @@
 	cfg := requestLimits(&set.Requests)
 	cfg.Peers, cfg.Ownership = do.MustInvoke[*link.Members](i), do.MustInvoke[*contract.Claimer](i)
 	cfg.Grants, cfg.View = do.MustInvoke[*contract.Grants](i), do.MustInvoke[*config.Store](i)
-	cfg.Hosts = &drainedHosts{from: do.MustInvoke[platform.HostList](i), view: do.MustInvoke[*config.Store](i)}
+	cfg.Hosts = &drainedHosts{from: do.MustInvoke[upstream.HostList](i), view: do.MustInvoke[*config.Store](i)}
 	cfg.Topology, cfg.Log = do.MustInvoke[*zone.Topology](i), do.MustInvoke[zerolog.Logger](i)
 	cfg.Metrics, cfg.Shards = do.MustInvoke[*prometheus.Registry](i), set.IDShards
 	cfg.HostsInterval = set.Platform.HostsEvery.Std()
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -18,7 +18,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -143,8 +143,8 @@
 			return err
 		}
 		c.Workers = append(c.Workers, n)
-		host := platform.Host{ID: id, Kind: platform.WorkerHost, Address: n.Address, Zone: z,
-			Rack: fmt.Sprintf("r%d", i/workersPerRack+1), State: platform.Live, Resources: caps}
+		host := upstream.Host{ID: id, Kind: upstream.WorkerHost, Address: n.Address, Zone: z,
+			Rack: fmt.Sprintf("r%d", i/workersPerRack+1), State: upstream.Live, Resources: caps}
 		if err := c.SetHost(ctx, host); err != nil {
 			return err
 		}
@@ -160,7 +160,7 @@
 			return err
 		}
 		c.Executors = append(c.Executors, n)
-		host := platform.Host{ID: id, Kind: platform.ExecutorHost, Address: n.Address, Zone: z, Group: "g1", State: platform.Live, Slots: 8}
+		host := upstream.Host{ID: id, Kind: upstream.ExecutorHost, Address: n.Address, Zone: z, Group: "g1", State: upstream.Live, Slots: 8}
 		if err := c.SetHost(ctx, host); err != nil {
 			return err
 		}
@@ -234,12 +234,12 @@
 	if err != nil {
 		return err
 	}
-	return c.SetDaemonState(ctx, n, platform.Live)
+	return c.SetDaemonState(ctx, n, upstream.Live)
 }
 
 // SetDaemonState changes what the host list says of a daemon.
-func (c *Cluster) SetDaemonState(ctx context.Context, n *Node, s platform.HostState) error {
-	return c.SetHost(ctx, platform.Host{ID: n.ID, Kind: platform.DaemonHost, Address: n.RPC, Zone: n.Zone, State: s})
+func (c *Cluster) SetDaemonState(ctx context.Context, n *Node, s upstream.HostState) error {
+	return c.SetHost(ctx, upstream.Host{ID: n.ID, Kind: upstream.DaemonHost, Address: n.RPC, Zone: n.Zone, State: s})
 }
 
 // SettingsFile returns the path of a daemon's settings.
--- a/internal/cluster/control.go
+++ b/internal/cluster/control.go
@@ -16,7 +16,7 @@
 	"github.com/prometheus/common/model"
 
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -73,7 +73,7 @@
 }
 
 // SetHost sets an entry of the host list, with the address that each region has to use.
-func (c *Cluster) SetHost(ctx context.Context, h platform.Host) error {
+func (c *Cluster) SetHost(ctx context.Context, h upstream.Host) error {
 	direct := h.Address
 	for r, list := range c.lists {
 		var err error
--- a/internal/cluster/faults_test.go
+++ b/internal/cluster/faults_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -136,14 +136,14 @@
 		}
 		x.balance(fresh, true)
 		x.wave(n)
-		if err := x.SetDaemonState(x.ctx, old, platform.Leaving); err != nil {
+		if err := x.SetDaemonState(x.ctx, old, upstream.Leaving); err != nil {
 			t.Fatal(err)
 		}
 		x.balance(old, false)
 		if err := old.Stop(); err != nil {
 			t.Errorf("%s did not stop cleanly: %s", old.ID, err)
 		}
-		if err := x.SetDaemonState(x.ctx, old, platform.Gone); err != nil {
+		if err := x.SetDaemonState(x.ctx, old, upstream.Gone); err != nil {
 			t.Fatal(err)
 		}
 		x.awaitOwners(old.ID)
--- a/internal/cluster/takeover_bench_test.go
+++ b/internal/cluster/takeover_bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // targetTakeover is the time from the death of an owner until its keys are served again.
@@ -58,5 +58,5 @@
 		Appends map[string]int `json:"appends"`
 	}
 	err := c.Send(ctx, http.MethodGet, c.Log.URL()+"/v1/stats", nil, &stats)
-	return stats.Appends[platform.StreamControl], err
+	return stats.Appends[upstream.StreamControl], err
 }
--- a/internal/standin/example_test.go
+++ b/internal/standin/example_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 func Example() {
 	log := standin.NewLog(standin.LogConfig{MaxRecords: 100})
 	srv := httptest.NewServer(log)
 	defer srv.Close()
-	client := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL})
+	client := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL})
 	log.SetFaults(standin.LogFaults{Down: true})
 	_, err := client.Append(context.Background(), "s", [][]byte{[]byte("x")})
 	fmt.Println(errkind.Of(err), log.Appends("s"))
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // Hosts is a stand-in of the platform's host list. PUT /v1/hosts replaces the
@@ -24,7 +24,7 @@
 type hostsAt struct {
 	seq   uint64 // grows with each change; the ETag
 	at    time.Time
-	hosts map[string]platform.Host
+	hosts map[string]upstream.Host
 }
 
 // NewHosts returns an empty host list whose answers are lag old.
@@ -41,10 +41,10 @@
 func (h *Hosts) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
 // Set adds or replaces entries.
-func (h *Hosts) Set(hosts ...platform.Host) {
+func (h *Hosts) Set(hosts ...upstream.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	next := make(map[string]platform.Host)
+	next := make(map[string]upstream.Host)
 	if n := len(h.history); n > 0 {
 		for id, host := range h.history[n-1].hosts {
 			next[id] = host
@@ -56,7 +56,7 @@
 	h.record(next)
 }
 
-func (h *Hosts) record(next map[string]platform.Host) {
+func (h *Hosts) record(next map[string]upstream.Host) {
 	now := time.Now()
 	for len(h.history) > 1 && now.Sub(h.history[1].at) > h.lag {
 		h.history = h.history[1:]
@@ -86,7 +86,7 @@
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	hosts := []platform.Host{}
+	hosts := []upstream.Host{}
 	for _, host := range list.hosts {
 		hosts = append(hosts, host)
 	}
@@ -96,13 +96,13 @@
 
 func (h *Hosts) handlePutAll(w http.ResponseWriter, r *http.Request) {
 	var body struct {
-		Hosts []platform.Host `json:"hosts"`
+		Hosts []upstream.Host `json:"hosts"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	next := make(map[string]platform.Host, len(body.Hosts))
+	next := make(map[string]upstream.Host, len(body.Hosts))
 	for _, host := range body.Hosts {
 		next[host.ID] = host
 	}
@@ -113,7 +113,7 @@
 }
 
 func (h *Hosts) handlePut(w http.ResponseWriter, r *http.Request) {
-	var host platform.Host
+	var host upstream.Host
 	if err := json.NewDecoder(r.Body).Decode(&host); err != nil || host.ID != r.PathValue("id") {
 		http.Error(w, "body must be a host with the id of the path", http.StatusBadRequest)
 		return
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // LogConfig configures the stand-in of the log.
@@ -36,8 +36,8 @@
 }
 
 type logStream struct {
-	oldest  platform.Offset
-	records []platform.Record
+	oldest  upstream.Offset
+	records []upstream.Record
 	times   []time.Time
 	appends int
 	changed chan struct{} // closed and replaced at every append
@@ -71,7 +71,7 @@
 }
 
 // Trim drops the records of stream below offset to.
-func (l *Log) Trim(stream string, to platform.Offset) {
+func (l *Log) Trim(stream string, to upstream.Offset) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stream(stream).trim(to)
@@ -86,9 +86,9 @@
 	return s
 }
 
-func (s *logStream) head() platform.Offset { return s.oldest + platform.Offset(len(s.records)) }
+func (s *logStream) head() upstream.Offset { return s.oldest + upstream.Offset(len(s.records)) }
 
-func (s *logStream) trim(to platform.Offset) {
+func (s *logStream) trim(to upstream.Offset) {
 	if to > s.head() {
 		to = s.head()
 	}
@@ -100,7 +100,7 @@
 
 func (l *Log) retain(s *logStream, now time.Time) {
 	if l.cfg.MaxRecords > 0 && len(s.records) > l.cfg.MaxRecords {
-		s.trim(s.head() - platform.Offset(l.cfg.MaxRecords))
+		s.trim(s.head() - upstream.Offset(l.cfg.MaxRecords))
 	}
 	for l.cfg.MaxAge > 0 && len(s.times) > 0 && now.Sub(s.times[0]) > l.cfg.MaxAge {
 		s.trim(s.oldest + 1)
@@ -147,13 +147,13 @@
 }
 
 // apply appends the records and returns the faults that hold for this call.
-func (l *Log) apply(name string, records [][]byte) (platform.Offset, LogFaults) {
+func (l *Log) apply(name string, records [][]byte) (upstream.Offset, LogFaults) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, now := l.stream(name), time.Now()
 	first := s.head()
 	for i, data := range records {
-		s.records = append(s.records, platform.Record{Offset: first + platform.Offset(i), Data: data})
+		s.records = append(s.records, upstream.Record{Offset: first + upstream.Offset(i), Data: data})
 		s.times = append(s.times, now)
 	}
 	s.appends++
@@ -182,7 +182,7 @@
 	deadline := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
 	defer deadline.Stop()
 	for {
-		b, changed, trimmed, down := l.read(r.PathValue("stream"), platform.Offset(from), limit)
+		b, changed, trimmed, down := l.read(r.PathValue("stream"), upstream.Offset(from), limit)
 		switch {
 		case down:
 			http.Error(w, "log is down", http.StatusServiceUnavailable)
@@ -204,19 +204,19 @@
 	}
 }
 
-func (l *Log) read(name string, from platform.Offset, limit int) (b platform.Batch, changed chan struct{}, trimmed, down bool) {
+func (l *Log) read(name string, from upstream.Offset, limit int) (b upstream.Batch, changed chan struct{}, trimmed, down bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	l.retain(s, time.Now())
-	b = platform.Batch{Records: []platform.Record{}, Next: from, Head: s.head(), Oldest: s.oldest}
+	b = upstream.Batch{Records: []upstream.Record{}, Next: from, Head: s.head(), Oldest: s.oldest}
 	if from < s.oldest {
 		return b, nil, true, l.faults.Down
 	}
 	if from < s.head() {
 		all := s.records[from-s.oldest:]
 		b.Records = append(b.Records, all[:min(limit, len(all))]...)
-		b.Next = from + platform.Offset(len(b.Records))
+		b.Next = from + upstream.Offset(len(b.Records))
 	}
 	return b, s.changed, false, l.faults.Down
 }
--- a/job/carry.go
+++ b/job/carry.go
@@ -6,7 +6,7 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
@@ -29,7 +29,7 @@
 func (sh *shard) carryLoop() {
 	every := min(sh.s.cfg.CarryAfter/20, 10*time.Second)
 	var last time.Time
-	var seen platform.Offset
+	var seen upstream.Offset
 	for pause.For(sh.ctx, carryPoll) {
 		oldest, next := sh.journal.position()
 		moved := oldest > 0 && next-seen > (next-oldest)/carryParts
--- a/job/cell_test.go
+++ b/job/cell_test.go
@@ -21,8 +21,8 @@
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/placement"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
@@ -42,13 +42,13 @@
 
 type hostList struct {
 	mu   sync.Mutex
-	list []platform.Host
+	list []upstream.Host
 }
 
-func (h *hostList) Hosts(context.Context) ([]platform.Host, error) {
+func (h *hostList) Hosts(context.Context) ([]upstream.Host, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return append([]platform.Host(nil), h.list...), nil
+	return append([]upstream.Host(nil), h.list...), nil
 }
 
 type intentions struct {
@@ -121,9 +121,9 @@
 	srv := httptest.NewServer(w)
 	c.t.Cleanup(func() { srv.Close(); w.Close() })
 	c.workers[id] = w
-	c.hosts.list = append(c.hosts.list, platform.Host{
-		ID: id, Kind: platform.WorkerHost, Address: srv.Listener.Addr().String(), Zone: "n1", Rack: rack,
-		State: platform.Live, Resources: workerSize,
+	c.hosts.list = append(c.hosts.list, upstream.Host{
+		ID: id, Kind: upstream.WorkerHost, Address: srv.Listener.Addr().String(), Zone: "n1", Rack: rack,
+		State: upstream.Live, Resources: workerSize,
 	})
 }
 
--- a/job/drain_test.go
+++ b/job/drain_test.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
 // setState changes the state of a worker on the host list.
-func (c *cell) setState(id string, s platform.HostState) {
+func (c *cell) setState(id string, s upstream.HostState) {
 	c.hosts.mu.Lock()
 	defer c.hosts.mu.Unlock()
 	for i := range c.hosts.list {
@@ -49,13 +49,13 @@
 	c.awaitRunning(d, service, 4)
 	c.awaitRunning(d, fixed, 8)
 	c.awaitRunning(d, gang, 4)
-	c.setState("a-0", platform.Leaving)
+	c.setState("a-0", upstream.Leaving)
 	eventually(t, "the service leaves the worker", func() bool { return c.openOn("a-0")["service"] == 0 })
 	c.awaitRunning(d, service, 4)
 	c.awaitState(d, fixed, Finished)
 	c.awaitState(d, gang, Finished)
 	c.finishedOnce([]workload.Job{fixed, gang})
-	c.setState("b-0", platform.Gone)
+	c.setState("b-0", upstream.Gone)
 	eventually(t, "the service leaves the worker that is gone", func() bool { return c.openOn("b-0")["service"] == 0 })
 	c.awaitRunning(d, service, 4)
 	starts := len(c.workers["b-0"].Records()) + len(c.workers["a-0"].Records())
@@ -78,7 +78,7 @@
 	waiting := testJob("waiting", workload.Batch, 1, 4000, time.Millisecond)
 	c.submit(d, waiting)
 	c.workers["a-0"].SetFaults(standin.Faults{Unreachable: true})
-	c.setState("b-1", platform.Leaving)
+	c.setState("b-1", upstream.Leaving)
 	counts := make(map[string]int)
 	eventually(t, "one worker is unreachable and one is draining", func() bool {
 		x, _ := d.sched.Explain(context.Background(), waiting.Team, waiting.ID)
--- a/job/example_test.go
+++ b/job/example_test.go
@@ -16,7 +16,7 @@
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/machine"
 	"github.com/sassafraslb/sassafraslb/placement"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
@@ -42,9 +42,9 @@
 }
 
 // hosts is a fixed host list.
-type hosts []platform.Host
+type hosts []upstream.Host
 
-func (h hosts) Hosts(context.Context) ([]platform.Host, error) { return h, nil }
+func (h hosts) Hosts(context.Context) ([]upstream.Host, error) { return h, nil }
 
 // noSheet is a configuration with one team and no jobs of its own.
 type noSheet struct{}
@@ -61,8 +61,8 @@
 	workerServer, logServer := httptest.NewServer(worker), httptest.NewServer(standin.NewLog(standin.LogConfig{}))
 	defer workerServer.Close()
 	defer logServer.Close()
-	list := hosts{{ID: "w1", Kind: platform.WorkerHost, Address: workerServer.Listener.Addr().String(),
-		Zone: "lom-bergamo", Rack: "r1", State: platform.Live, Resources: size}}
+	list := hosts{{ID: "w1", Kind: upstream.WorkerHost, Address: workerServer.Listener.Addr().String(),
+		Zone: "lom-bergamo", Rack: "r1", State: upstream.Live, Resources: size}}
 	topology, err := zone.NewTopology(map[zone.Region][]zone.Name{"lombardy": {"lom-bergamo"}})
 	if err != nil {
 		fmt.Println(err)
@@ -74,7 +74,7 @@
 		Region: "lombardy", NewEngine: engine, Shards: 1})
 	scheduler := job.NewScheduler(job.SchedulerConfig{Ownership: self, Peers: self, Hosts: list, Topology: topology,
 		Region: "lombardy", NewEngine: engine, Shards: 1, Intentions: noSheet{},
-		Log: platform.NewLogClient(platform.ClientConfig{BaseURL: logServer.URL})})
+		Log: upstream.NewLogClient(upstream.ClientConfig{BaseURL: logServer.URL})})
 	job.Join(rack, scheduler)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
--- a/job/fakelog_test.go
+++ b/job/fakelog_test.go
@@ -6,15 +6,15 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // memLog is a log service in memory.
 type memLog struct {
 	mu      sync.Mutex
-	records []platform.Record
-	next    platform.Offset
-	oldest  platform.Offset
+	records []upstream.Record
+	next    upstream.Offset
+	oldest  upstream.Offset
 	keep    int // retention in records; 0 keeps all
 	down    bool
 	lose    int // answers of appends that are lost after the effect
@@ -30,7 +30,7 @@
 	fn(l)
 }
 
-func (l *memLog) Append(_ context.Context, _ string, records [][]byte) (platform.Offset, error) {
+func (l *memLog) Append(_ context.Context, _ string, records [][]byte) (upstream.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -39,11 +39,11 @@
 	first := l.next
 	l.appends++
 	for _, r := range records {
-		l.records = append(l.records, platform.Record{Offset: l.next, Data: append([]byte(nil), r...)})
+		l.records = append(l.records, upstream.Record{Offset: l.next, Data: append([]byte(nil), r...)})
 		l.next++
 	}
 	if drop := len(l.records) - l.keep; l.keep > 0 && drop > 0 {
-		l.records = append([]platform.Record(nil), l.records[drop:]...)
+		l.records = append([]upstream.Record(nil), l.records[drop:]...)
 		l.oldest = l.records[0].Offset
 	}
 	close(l.moved)
@@ -55,21 +55,21 @@
 	return first, nil
 }
 
-func (l *memLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *memLog) Read(ctx context.Context, stream string, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		l.mu.Lock()
 		if l.down {
 			l.mu.Unlock()
-			return platform.Batch{}, errkind.New(errkind.LogUnavailable, "log_down", "log is down")
+			return upstream.Batch{}, errkind.New(errkind.LogUnavailable, "log_down", "log is down")
 		}
 		if from < l.oldest {
 			oldest := l.oldest
 			l.mu.Unlock()
-			return platform.Batch{}, &platform.TrimmedError{Stream: stream, Oldest: oldest}
+			return upstream.Batch{}, &upstream.TrimmedError{Stream: stream, Oldest: oldest}
 		}
-		b := platform.Batch{Next: from, Head: l.next, Oldest: l.oldest}
+		b := upstream.Batch{Next: from, Head: l.next, Oldest: l.oldest}
 		for _, r := range l.records {
 			if r.Offset >= from && len(b.Records) < limit {
 				b.Records = append(b.Records, r)
@@ -86,7 +86,7 @@
 		case <-timer.C:
 			return b, nil
 		case <-ctx.Done():
-			return platform.Batch{}, errkind.Wrap(errkind.LogUnavailable, "cancelled", ctx.Err())
+			return upstream.Batch{}, errkind.Wrap(errkind.LogUnavailable, "cancelled", ctx.Err())
 		}
 	}
 }
--- a/job/faults_test.go
+++ b/job/faults_test.go
@@ -11,7 +11,7 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
@@ -252,7 +252,7 @@
 		}
 		time.Sleep(2 * carryPoll)
 	}
-	var oldest platform.Offset
+	var oldest upstream.Offset
 	c.log.set(func(l *memLog) { oldest = l.oldest })
 	if oldest < 400 {
 		t.Errorf("the log dropped only %d records", oldest)
--- a/job/fleet.go
+++ b/job/fleet.go
@@ -8,18 +8,18 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // fleet caches the workers of the host list, by rack.
 type fleet struct {
-	hosts    platform.HostList
+	hosts    upstream.HostList
 	topology *zone.Topology
 	region   zone.Region
 
 	mu    sync.Mutex
-	racks map[contract.Key][]platform.Host
+	racks map[contract.Key][]upstream.Host
 	known bool // the list was read at least once
 }
 
@@ -28,9 +28,9 @@
 	if err != nil {
 		return err
 	}
-	racks := make(map[contract.Key][]platform.Host)
+	racks := make(map[contract.Key][]upstream.Host)
 	for _, h := range all {
-		if h.Kind != platform.WorkerHost {
+		if h.Kind != upstream.WorkerHost {
 			continue
 		}
 		if r, ok := f.topology.Region(h.Zone); ok && r == f.region {
@@ -57,7 +57,7 @@
 }
 
 // workers returns the workers of a rack, and whether the list was ever read.
-func (f *fleet) workers(k contract.Key) ([]platform.Host, bool) {
+func (f *fleet) workers(k contract.Key) ([]upstream.Host, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.racks[k], f.known
--- a/job/journal.go
+++ b/job/journal.go
@@ -9,7 +9,7 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 const (
@@ -24,19 +24,19 @@
 // journal appends to the jobs stream and follows it. A record has an effect
 // only when it is read back.
 type journal struct {
-	log    platform.Log
-	writer *platform.Writer
-	apply  func(platform.Record)
+	log    upstream.Log
+	writer *upstream.Writer
+	apply  func(upstream.Record)
 
 	mu     sync.Mutex
-	next   platform.Offset // all records below are applied
-	oldest platform.Offset
+	next   upstream.Offset // all records below are applied
+	oldest upstream.Offset
 	moved  chan struct{} // closed when next moves
 	folded chan struct{} // closed when the head of the first read is reached
-	head   platform.Offset
+	head   upstream.Offset
 }
 
-func newJournal(log platform.Log, w *platform.Writer, apply func(platform.Record)) *journal {
+func newJournal(log upstream.Log, w *upstream.Writer, apply func(upstream.Record)) *journal {
 	return &journal{log: log, writer: w, apply: apply, moved: make(chan struct{}), folded: make(chan struct{})}
 }
 
@@ -47,8 +47,8 @@
 		j.mu.Lock()
 		from := j.next
 		j.mu.Unlock()
-		b, err := j.log.Read(ctx, platform.StreamJobs, from, tailBatch, tailWait)
-		var trimmed *platform.TrimmedError
+		b, err := j.log.Read(ctx, upstream.StreamJobs, from, tailBatch, tailWait)
+		var trimmed *upstream.TrimmedError
 		if errors.As(err, &trimmed) {
 			// Open jobs were carried forward before retention.
 			j.mu.Lock()
@@ -84,7 +84,7 @@
 
 // append writes one record and returns when it was read back and applied.
 func (j *journal) append(ctx context.Context, kind string, body record) error {
-	e, err := platform.NewEnvelope(kind, body)
+	e, err := upstream.NewEnvelope(kind, body)
 	if err != nil {
 		return err
 	}
@@ -95,7 +95,7 @@
 	return j.await(ctx, off)
 }
 
-func (j *journal) await(ctx context.Context, off platform.Offset) error {
+func (j *journal) await(ctx context.Context, off upstream.Offset) error {
 	for {
 		j.mu.Lock()
 		next, moved := j.next, j.moved
@@ -112,7 +112,7 @@
 }
 
 // position returns the oldest offset kept and the next one to read.
-func (j *journal) position() (oldest, next platform.Offset) {
+func (j *journal) position() (oldest, next upstream.Offset) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.oldest, j.next
@@ -123,9 +123,9 @@
 	if len(bodies) == 0 {
 		return nil
 	}
-	group := make([]platform.Envelope, 0, len(bodies))
+	group := make([]upstream.Envelope, 0, len(bodies))
 	for _, b := range bodies {
-		e, err := platform.NewEnvelope(kind, b)
+		e, err := upstream.NewEnvelope(kind, b)
 		if err != nil {
 			return err
 		}
@@ -135,5 +135,5 @@
 	if err != nil {
 		return err
 	}
-	return j.await(ctx, first+platform.Offset(len(group))-1)
+	return j.await(ctx, first+upstream.Offset(len(group))-1)
 }
--- a/job/rack.go
+++ b/job/rack.go
@@ -14,8 +14,8 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/link"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -23,7 +23,7 @@
 type RackConfig struct {
 	Ownership contract.Ownership
 	Peers     link.Peers
-	Hosts     platform.HostList
+	Hosts     upstream.HostList
 	Topology  *zone.Topology
 	Region    zone.Region
 	NewEngine func() Engine // used to choose preemption victims
@@ -45,7 +45,7 @@
 	Drift               float64 // default machine.ClockDrift
 	// Draining reports whether the configuration takes a worker out of use.
 	// Default: none.
-	Draining func(h platform.Host) bool
+	Draining func(h upstream.Host) bool
 	// NewTransport makes the HTTP transport of one worker. Default: one
 	// connection per worker.
 	NewTransport func() http.RoundTripper
@@ -68,7 +68,7 @@
 	def(&c.DeltaBytesPerSecond, 2048)
 	def(&c.Drift, machine.ClockDrift)
 	if c.Draining == nil {
-		c.Draining = func(platform.Host) bool { return false }
+		c.Draining = func(upstream.Host) bool { return false }
 	}
 	if c.Now == nil {
 		c.Now = time.Now
--- a/job/rack_tenure.go
+++ b/job/rack_tenure.go
@@ -10,8 +10,8 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
@@ -97,7 +97,7 @@
 			t.workersDone.Add(1)
 			go w.run()
 		}
-		w.leaving = h.State != platform.Live
+		w.leaving = h.State != upstream.Live
 	}
 	t.changed() // the configuration may have changed what drains, too
 	for id, w := range t.workers {
--- a/job/rack_worker.go
+++ b/job/rack_worker.go
@@ -8,7 +8,7 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
@@ -30,7 +30,7 @@
 // at a time. The fields below client are guarded by the lock of the tenure.
 type worker struct {
 	t        *rackTenure
-	host     platform.Host
+	host     upstream.Host
 	client   *machine.WorkerClient
 	commands chan func(context.Context)
 	cancel   context.CancelFunc
@@ -45,7 +45,7 @@
 	soon      bool // a renewal is wanted at once
 }
 
-func newWorker(t *rackTenure, h platform.Host) *worker {
+func newWorker(t *rackTenure, h upstream.Host) *worker {
 	w := &worker{t: t, host: h, commands: make(chan func(context.Context), commandQueue), tasks: make(map[machine.TaskRef]*held)}
 	w.ctx, w.cancel = context.WithCancel(t.ctx)
 	w.capacity = h.Resources
--- a/job/records.go
+++ b/job/records.go
@@ -6,11 +6,11 @@
 	"strings"
 	"time"
 
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 )
 
-// Kinds of the records in platform.StreamJobs.
+// Kinds of the records in upstream.StreamJobs.
 const (
 	recordAccepted = "job_accepted"
 	recordCancel   = "job_cancel"
@@ -70,7 +70,7 @@
 	job        workload.Job
 	managed    bool // wanted by the configuration
 	acceptedAt time.Time
-	offset     platform.Offset // newest record that holds the whole job
+	offset     upstream.Offset // newest record that holds the whole job
 	recordedAt time.Time
 	ends       map[endKey]taskEnd // nil when the job is final
 	finished   map[int]bool       // tasks; nil when the job is final
@@ -168,7 +168,7 @@
 }
 
 func decodeRecord(data []byte) (kind string, r record, ok bool) {
-	e, ok := platform.DecodeEnvelope(data)
+	e, ok := upstream.DecodeEnvelope(data)
 	if !ok {
 		return "", record{}, false
 	}
--- a/job/scheduler.go
+++ b/job/scheduler.go
@@ -12,8 +12,8 @@
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -21,8 +21,8 @@
 type SchedulerConfig struct {
 	Ownership  contract.Ownership
 	Peers      link.Peers
-	Hosts      platform.HostList
-	Log        platform.Log
+	Hosts      upstream.HostList
+	Log        upstream.Log
 	Topology   *zone.Topology
 	Region     zone.Region
 	Intentions Intentions
@@ -73,7 +73,7 @@
 	cfg    SchedulerConfig
 	fleet  *fleet
 	holder holder
-	writer *platform.Writer
+	writer *upstream.Writer
 	local  rpc.DRPCRackOwnerServer
 	counts *counters
 
@@ -89,7 +89,7 @@
 	return &Scheduler{
 		cfg:    cfg,
 		fleet:  &fleet{hosts: cfg.Hosts, topology: cfg.Topology, region: cfg.Region},
-		writer: platform.NewWriter(platform.WriterConfig{Log: cfg.Log, Stream: platform.StreamJobs, Logger: cfg.Logger}),
+		writer: upstream.NewWriter(upstream.WriterConfig{Log: cfg.Log, Stream: upstream.StreamJobs, Logger: cfg.Logger}),
 		counts: newCounters(cfg.Registerer, "scheduler"),
 		shards: make(map[contract.Key]*shard),
 	}
--- a/job/shard.go
+++ b/job/shard.go
@@ -7,8 +7,8 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/placement"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/workload"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
@@ -89,7 +89,7 @@
 }
 
 // apply folds one record of the jobs stream.
-func (sh *shard) apply(rec platform.Record) {
+func (sh *shard) apply(rec upstream.Record) {
 	kind, r, ok := decodeRecord(rec.Data)
 	if !ok || r.Shard != string(sh.key) {
 		return
@@ -126,7 +126,7 @@
 	}
 }
 
-func (sh *shard) applyCarried(off platform.Offset, r record) {
+func (sh *shard) applyCarried(off upstream.Offset, r record) {
 	if r.Job == nil {
 		return
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -15,8 +15,8 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -66,7 +66,7 @@
 	}
 }
 
-func startNode(t testing.TB, id string, z zone.Name, direct platform.Log) *node {
+func startNode(t testing.TB, id string, z zone.Name, direct upstream.Log) *node {
 	topology, err := zone.NewTopology(map[zone.Region][]zone.Name{"r1": {"z1", "z2"}, "r2": {"z3"}})
 	if err != nil {
 		t.Fatal(err)
@@ -188,7 +188,7 @@
 	l := standin.NewLog(standin.LogConfig{})
 	srv := httptest.NewServer(l)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	direct := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL})
+	direct := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL})
 	a, b := startNode(t, "a", "z1", direct), startNode(t, "b", "z1", direct)
 	meet(a, b)
 	conn, err := a.Conn(t.Context(), "b")
@@ -269,7 +269,7 @@
 	l := standin.NewLog(standin.LogConfig{})
 	srv := httptest.NewServer(l)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	direct := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL})
+	direct := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL})
 	a, b := startNode(t, "a", "z1", direct), startNode(t, "b", "z1", direct)
 	meet(a, b)
 	conn, err := a.Conn(t.Context(), "b")
@@ -302,7 +302,7 @@
 	l := standin.NewLog(standin.LogConfig{})
 	srv := httptest.NewServer(l)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	direct := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL})
+	direct := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL})
 	var nodes []*node
 	var logs []*link.Log
 	var reads [3]countingLog
@@ -361,14 +361,14 @@
 }
 
 type countingLog struct {
-	platform.Log
+	upstream.Log
 	n    atomic.Int64
 	down atomic.Bool
 }
 
-func (l *countingLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *countingLog) Read(ctx context.Context, stream string, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	if l.down.Load() {
-		return platform.Batch{}, errkind.New(errkind.LogUnavailable, "test", "down")
+		return upstream.Batch{}, errkind.New(errkind.LogUnavailable, "test", "down")
 	}
 	l.n.Add(1)
 	return l.Log.Read(ctx, stream, from, limit, wait)
--- a/link/relay.go
+++ b/link/relay.go
@@ -11,13 +11,13 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // RelayConfig configures a Relay.
 type RelayConfig struct {
-	Direct platform.Log // reads the log itself; required
+	Direct upstream.Log // reads the log itself; required
 	// Window is the number of recent records kept per stream. Default 4096.
 	Window int
 	// PollWait is the long poll of the relay's own reads. Default 300 ms.
@@ -60,8 +60,8 @@
 
 // tail is the recent part of one stream. Relay.mu guards it.
 type tail struct {
-	batch   platform.Batch // Records are contiguous and end at Next
-	base    platform.Offset
+	batch   upstream.Batch // Records are contiguous and end at Next
+	base    upstream.Offset
 	valid   bool
 	started time.Time // start of the last read that reached the head
 	asked   time.Time
@@ -111,7 +111,7 @@
 	defer r.mu.Unlock()
 	t, now := r.tail(req.Stream), time.Now()
 	t.asked = now
-	from := platform.Offset(req.From)
+	from := upstream.Offset(req.From)
 	if !t.valid || from < t.base {
 		return nil, nil, true
 	}
@@ -120,16 +120,16 @@
 	if age > r.cfg.MaxAge || (!more && !ended) {
 		return nil, t.changed, false
 	}
-	b := platform.Batch{Next: from, Head: t.batch.Head, Oldest: t.batch.Oldest}
+	b := upstream.Batch{Next: from, Head: t.batch.Head, Oldest: t.batch.Oldest}
 	if more {
 		all := t.batch.Records[from-t.base:]
 		b.Records = all[:min(len(all), int(req.Limit))]
-		b.Next = from + platform.Offset(len(b.Records))
+		b.Next = from + upstream.Offset(len(b.Records))
 	}
 	return answer(b, age), nil, false
 }
 
-func answer(b platform.Batch, age time.Duration) *rpc.ReadLogResponse {
+func answer(b upstream.Batch, age time.Duration) *rpc.ReadLogResponse {
 	resp := &rpc.ReadLogResponse{Next: uint64(b.Next), Head: uint64(b.Head), Oldest: uint64(b.Oldest),
 		AgeMs: uint32(age.Milliseconds()) + 1} // rounded up
 	for _, rec := range b.Records {
@@ -141,8 +141,8 @@
 // direct reads the log for a caller that is further back than the tail.
 func (r *Relay) direct(ctx context.Context, req *rpc.ReadLogRequest) (*rpc.ReadLogResponse, error) {
 	start := time.Now()
-	b, err := r.cfg.Direct.Read(ctx, req.Stream, platform.Offset(req.From), int(req.Limit), 0)
-	var trimmed *platform.TrimmedError
+	b, err := r.cfg.Direct.Read(ctx, req.Stream, upstream.Offset(req.From), int(req.Limit), 0)
+	var trimmed *upstream.TrimmedError
 	if errors.As(err, &trimmed) {
 		return &rpc.ReadLogResponse{Trimmed: true, Oldest: uint64(trimmed.Oldest)}, nil
 	}
@@ -167,7 +167,7 @@
 func (r *Relay) follow(stream string, t *tail) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var from platform.Offset
+	var from upstream.Offset
 	known := false
 	for {
 		r.mu.Lock()
@@ -178,7 +178,7 @@
 		}
 		r.mu.Unlock()
 		if !known {
-			head, err := platform.Head(ctx, r.cfg.Direct, stream)
+			head, err := upstream.Head(ctx, r.cfg.Direct, stream)
 			if err != nil {
 				pause.For(ctx, r.cfg.PollWait/4)
 				continue
@@ -188,7 +188,7 @@
 		start := time.Now()
 		b, err := r.cfg.Direct.Read(ctx, stream, from, r.cfg.Window, r.cfg.PollWait)
 		switch {
-		case errors.Is(err, platform.ErrTrimmed):
+		case errors.Is(err, upstream.ErrTrimmed):
 			known = false
 			r.reset(t)
 		case err != nil:
@@ -203,10 +203,10 @@
 func (r *Relay) reset(t *tail) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.valid, t.batch, t.base = false, platform.Batch{}, 0
+	t.valid, t.batch, t.base = false, upstream.Batch{}, 0
 }
 
-func (r *Relay) extend(t *tail, from platform.Offset, b platform.Batch, start time.Time) {
+func (r *Relay) extend(t *tail, from upstream.Offset, b upstream.Batch, start time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !t.valid {
@@ -214,9 +214,9 @@
 	}
 	records := append(t.batch.Records, b.Records...)
 	if over := len(records) - r.cfg.Window; over > 0 {
-		records, t.base = append([]platform.Record(nil), records[over:]...), t.base+platform.Offset(over)
+		records, t.base = append([]upstream.Record(nil), records[over:]...), t.base+upstream.Offset(over)
 	}
-	t.batch = platform.Batch{Records: records, Next: b.Next, Head: b.Head, Oldest: b.Oldest}
+	t.batch = upstream.Batch{Records: records, Next: b.Next, Head: b.Head, Oldest: b.Oldest}
 	if b.Next == b.Head {
 		t.started = start
 	}
--- a/link/relaylog.go
+++ b/link/relaylog.go
@@ -10,14 +10,14 @@
 	"github.com/go-faster/errors"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // LogConfig configures a Log.
 type LogConfig struct {
-	Direct    platform.Log // required
+	Direct    upstream.Log // required
 	Peers     Peers        // required
 	LogRegion zone.Region  // region of the log; its daemons read directly
 	// Attempt bounds one source in addition to the wait of a long poll. Default 400 ms.
@@ -41,8 +41,8 @@
 }
 
 var (
-	_ platform.Log        = (*Log)(nil)
-	_ platform.AgedReader = (*Log)(nil)
+	_ upstream.Log        = (*Log)(nil)
+	_ upstream.AgedReader = (*Log)(nil)
 )
 
 // NewLog returns a Log.
@@ -59,25 +59,25 @@
 	return &Log{cfg: cfg}
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, stream string, records [][]byte) (platform.Offset, error) {
+// Append implements upstream.Log.
+func (l *Log) Append(ctx context.Context, stream string, records [][]byte) (upstream.Offset, error) {
 	return l.cfg.Direct.Append(ctx, stream, records)
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements upstream.Log.
+func (l *Log) Read(ctx context.Context, stream string, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	b, _, err := l.ReadAged(ctx, stream, from, limit, wait)
 	return b, err
 }
 
-// ReadAged implements platform.AgedReader.
-func (l *Log) ReadAged(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, time.Duration, error) {
+// ReadAged implements upstream.AgedReader.
+func (l *Log) ReadAged(ctx context.Context, stream string, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, time.Duration, error) {
 	var last error
 	for _, source := range l.sources() {
 		attempt, cancel := context.WithTimeout(ctx, l.cfg.Attempt+wait)
 		b, age, err := l.readFrom(attempt, source, stream, from, limit, wait)
 		cancel()
-		if err == nil || errors.Is(err, platform.ErrTrimmed) {
+		if err == nil || errors.Is(err, upstream.ErrTrimmed) {
 			l.remember(source)
 			return b, age, err
 		}
@@ -86,29 +86,29 @@
 			break
 		}
 	}
-	return platform.Batch{}, 0, errkind.Wrap(errkind.LogUnavailable, "no_source", last)
+	return upstream.Batch{}, 0, errkind.Wrap(errkind.LogUnavailable, "no_source", last)
 }
 
-func (l *Log) readFrom(ctx context.Context, source, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, time.Duration, error) {
+func (l *Log) readFrom(ctx context.Context, source, stream string, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, time.Duration, error) {
 	if source == "" {
 		b, err := l.cfg.Direct.Read(ctx, stream, from, limit, wait)
 		return b, 0, err
 	}
 	conn, err := l.cfg.Peers.Conn(ctx, source)
 	if err != nil {
-		return platform.Batch{}, 0, err
+		return upstream.Batch{}, 0, err
 	}
 	resp, err := rpc.NewDRPCLogRelayClient(conn).ReadLog(ctx, &rpc.ReadLogRequest{
 		Stream: stream, From: uint64(from), Limit: uint32(limit), WaitMs: uint32(wait.Milliseconds())})
 	if err != nil {
-		return platform.Batch{}, 0, err
+		return upstream.Batch{}, 0, err
 	}
 	if resp.Trimmed {
-		return platform.Batch{}, 0, &platform.TrimmedError{Stream: stream, Oldest: platform.Offset(resp.Oldest)}
+		return upstream.Batch{}, 0, &upstream.TrimmedError{Stream: stream, Oldest: upstream.Offset(resp.Oldest)}
 	}
-	b := platform.Batch{Next: platform.Offset(resp.Next), Head: platform.Offset(resp.Head), Oldest: platform.Offset(resp.Oldest)}
+	b := upstream.Batch{Next: upstream.Offset(resp.Next), Head: upstream.Offset(resp.Head), Oldest: upstream.Offset(resp.Oldest)}
 	for _, rec := range resp.Records {
-		b.Records = append(b.Records, platform.Record{Offset: platform.Offset(rec.Offset), Data: rec.Data})
+		b.Records = append(b.Records, upstream.Record{Offset: upstream.Offset(rec.Offset), Data: rec.Data})
 	}
 	return b, time.Duration(resp.AgeMs) * time.Millisecond, nil
 }
--- a/request/cell_test.go
+++ b/request/cell_test.go
@@ -20,7 +20,7 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -33,7 +33,7 @@
 	owners  map[contract.Key]owned
 	grants  map[contract.Key][]granted
 	members map[string]link.Member
-	hosts   []platform.Host
+	hosts   []upstream.Host
 	state   *config.State
 	watch   map[string]func(contract.Change)
 	paused  map[string]bool                 // daemons without tenure
@@ -92,8 +92,8 @@
 	if slots == 0 {
 		slots = 8
 	}
-	h := platform.Host{ID: fmt.Sprintf("x%d", len(c.hosts)), Kind: platform.ExecutorHost, Address: x.Address(), Zone: z,
-		Group: group, State: platform.Live, Slots: slots}
+	h := upstream.Host{ID: fmt.Sprintf("x%d", len(c.hosts)), Kind: upstream.ExecutorHost, Address: x.Address(), Zone: z,
+		Group: group, State: upstream.Live, Slots: slots}
 	c.hosts = append(c.hosts, h)
 	c.execs[h.ID] = x
 	return x
@@ -167,7 +167,7 @@
 	c.members[id] = m
 }
 
-func (c *cell) setHost(id string, s platform.HostState) {
+func (c *cell) setHost(id string, s upstream.HostState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range c.hosts {
@@ -177,10 +177,10 @@
 	}
 }
 
-func (c *cell) Hosts(context.Context) ([]platform.Host, error) {
+func (c *cell) Hosts(context.Context) ([]upstream.Host, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]platform.Host(nil), c.hosts...), nil
+	return append([]upstream.Host(nil), c.hosts...), nil
 }
 
 func (c *cell) Current() *config.State                  { return c.state }
--- a/request/config.go
+++ b/request/config.go
@@ -12,7 +12,7 @@
 	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -22,7 +22,7 @@
 	Peers     link.Peers
 	Ownership contract.Ownership
 	Grants    Grants
-	Hosts     platform.HostList
+	Hosts     upstream.HostList
 	View      config.View
 	Topology  *zone.Topology
 
--- a/request/executor.go
+++ b/request/executor.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // executor is the owner's view of one executor. The lock of its group guards it.
 type executor struct {
-	host    platform.Host
+	host    upstream.Host
 	client  *machine.ExecutorClient
 	slots   int
 	leaving bool
@@ -40,7 +40,7 @@
 	cancel  context.CancelCauseFunc
 }
 
-func newExecutor(h platform.Host, conns int, maxAnswer int64) *executor {
+func newExecutor(h upstream.Host, conns int, maxAnswer int64) *executor {
 	return &executor{
 		host:      h,
 		client:    machine.NewExecutorClient(machine.ExecutorConfig{Address: h.Address, MaxConns: conns, MaxAnswerBytes: maxAnswer}),
--- a/request/failures_test.go
+++ b/request/failures_test.go
@@ -13,7 +13,7 @@
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 func do(d *daemon, class Class, id, body string, budget time.Duration) (Answer, error) {
@@ -187,7 +187,7 @@
 // Guards against new work on leaving executors, and against runs cut off there.
 func TestLeavingExecutorIsUnused(t *testing.T) {
 	c, d1, _ := oneGroup(t, 2, standin.ExecutorConfig{Slots: 4}, nil)
-	c.setHost("x0", platform.Leaving)
+	c.setHost("x0", upstream.Leaving)
 	eventually(t, "x0 is leaving", func() bool { return d1.svc.Stats().Groups[0].Executors[0].Leaving })
 	for range 50 {
 		if _, err := do(d1, Valuation, "", "x", 5*time.Second); err != nil {
--- a/request/group.go
+++ b/request/group.go
@@ -7,8 +7,8 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // initialRunTime is assumed until the first answers give a mean.
@@ -35,12 +35,12 @@
 }
 
 // setHosts takes in the executors of the group in the host list.
-func (g *group) setHosts(hosts []platform.Host) {
+func (g *group) setHosts(hosts []upstream.Host) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	seen := make(map[string]bool)
 	for _, h := range hosts {
-		if h.State == platform.Gone {
+		if h.State == upstream.Gone {
 			continue
 		}
 		seen[h.ID] = true
@@ -53,7 +53,7 @@
 			x = newExecutor(h, g.s.cfg.ExecutorConns, int64(g.s.cfg.MaxAnswerBytes))
 			g.execs[h.ID] = x
 		}
-		x.leaving = h.State == platform.Leaving
+		x.leaving = h.State == upstream.Leaving
 	}
 	for id, x := range g.execs {
 		if !seen[id] {
--- a/request/groups.go
+++ b/request/groups.go
@@ -11,8 +11,8 @@
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // groups holds the executor groups that this daemon owns.
@@ -21,7 +21,7 @@
 	mu sync.Mutex
 	m  map[contract.Key]*group
 	// hosts are the executors of every group in the host list.
-	hosts map[contract.Key][]platform.Host
+	hosts map[contract.Key][]upstream.Host
 
 	changesMu sync.Mutex
 	changes   []contract.Change
@@ -86,9 +86,9 @@
 }
 
 // setHosts takes in the host list.
-func (o *groups) setHosts(hosts []platform.Host) {
-	byKey := lo.GroupBy(lo.Filter(hosts, func(h platform.Host, _ int) bool { return h.Kind == platform.ExecutorHost }),
-		func(h platform.Host) contract.Key { return contract.ExecKey(h.Zone, h.Group) })
+func (o *groups) setHosts(hosts []upstream.Host) {
+	byKey := lo.GroupBy(lo.Filter(hosts, func(h upstream.Host, _ int) bool { return h.Kind == upstream.ExecutorHost }),
+		func(h upstream.Host) contract.Key { return contract.ExecKey(h.Zone, h.Group) })
 	o.mu.Lock()
 	o.hosts = byKey
 	own := lo.Values(o.m)
--- a/request/loads.go
+++ b/request/loads.go
@@ -6,8 +6,8 @@
 
 	"github.com/sassafraslb/sassafraslb/contract"
 	"github.com/sassafraslb/sassafraslb/link"
-	"github.com/sassafraslb/sassafraslb/platform"
 	"github.com/sassafraslb/sassafraslb/rpc"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -43,16 +43,16 @@
 }
 
 // setHosts takes in the host list.
-func (t *loadTable) setHosts(hosts []platform.Host) {
+func (t *loadTable) setHosts(hosts []upstream.Host) {
 	nominal := make(map[contract.Key]int)
 	zones := make(map[contract.Key]zone.Name)
 	for _, h := range hosts {
-		if h.Kind != platform.ExecutorHost {
+		if h.Kind != upstream.ExecutorHost {
 			continue
 		}
 		k := contract.ExecKey(h.Zone, h.Group)
 		zones[k] = h.Zone
-		if h.State == platform.Live {
+		if h.State == upstream.Live {
 			nominal[k] += h.Slots
 		}
 	}
--- a/sheet/apply_test.go
+++ b/sheet/apply_test.go
@@ -11,48 +11,48 @@
 
 	"github.com/sassafraslb/sassafraslb/config"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
 // memoryLog is a log that works; package config tests the faults.
 type memoryLog struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []upstream.Record
 	grown   chan struct{}
 }
 
-func (l *memoryLog) Append(_ context.Context, _ string, records [][]byte) (platform.Offset, error) {
+func (l *memoryLog) Append(_ context.Context, _ string, records [][]byte) (upstream.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	first := platform.Offset(len(l.records))
+	first := upstream.Offset(len(l.records))
 	for i, r := range records {
-		l.records = append(l.records, platform.Record{Offset: first + platform.Offset(i), Data: r})
+		l.records = append(l.records, upstream.Record{Offset: first + upstream.Offset(i), Data: r})
 	}
 	close(l.grown)
 	l.grown = make(chan struct{})
 	return first, nil
 }
 
-func (l *memoryLog) Read(ctx context.Context, _ string, from platform.Offset, _ int, wait time.Duration) (platform.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, _ string, from upstream.Offset, _ int, wait time.Duration) (upstream.Batch, error) {
 	l.mu.Lock()
 	grown := l.grown
-	empty := from >= platform.Offset(len(l.records))
+	empty := from >= upstream.Offset(len(l.records))
 	l.mu.Unlock()
 	if empty && wait > 0 {
 		select {
 		case <-grown:
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return upstream.Batch{}, ctx.Err()
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	head := platform.Offset(len(l.records))
-	return platform.Batch{Records: l.records[from:head], Next: head, Head: head}, nil
+	head := upstream.Offset(len(l.records))
+	return upstream.Batch{Records: l.records[from:head], Next: head, Head: head}, nil
 }
 
-func startStore(t *testing.T, l platform.Log, loc *time.Location, now time.Time) *config.Store {
+func startStore(t *testing.T, l upstream.Log, loc *time.Location, now time.Time) *config.Store {
 	t.Helper()
 	s, err := config.NewStore(config.StoreConfig{Log: l, Location: loc, Now: func() time.Time { return now }})
 	if err != nil {
--- a/platform/capacity_bench_test.go
+++ b/upstream/capacity_bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package upstream_test
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	"github.com/sassafraslb/sassafraslb/internal/standin"
 	"github.com/sassafraslb/sassafraslb/machine"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 	"github.com/sassafraslb/sassafraslb/zone"
 )
 
@@ -29,10 +29,10 @@
 	return float64(m.HeapAlloc)
 }
 
-func listedHosts(n int) (out []platform.Host) {
+func listedHosts(n int) (out []upstream.Host) {
 	for i := range n {
-		out = append(out, platform.Host{ID: fmt.Sprintf("worker-%05d", i), Kind: platform.WorkerHost, Address: fmt.Sprintf("10.%d.%d.%d:7070", i>>16, i>>8&255, i&255),
-			Zone: zone.Name(fmt.Sprintf("zone-%02d", i%18)), Rack: fmt.Sprintf("rack-%04d", i/16), State: platform.Live,
+		out = append(out, upstream.Host{ID: fmt.Sprintf("worker-%05d", i), Kind: upstream.WorkerHost, Address: fmt.Sprintf("10.%d.%d.%d:7070", i>>16, i>>8&255, i&255),
+			Zone: zone.Name(fmt.Sprintf("zone-%02d", i%18)), Rack: fmt.Sprintf("rack-%04d", i/16), State: upstream.Live,
 			Resources: machine.Resources{CPUMilli: 64_000, MemoryMiB: 262_144, Accelerators: int64(i % 3)}})
 	}
 	return out
@@ -52,7 +52,7 @@
 				}))
 				defer server.Close()
 				before := liveBytes()
-				client := platform.NewHostClient(platform.ClientConfig{BaseURL: server.URL})
+				client := upstream.NewHostClient(upstream.ClientConfig{BaseURL: server.URL})
 				hosts, err := client.Hosts(b.Context())
 				if err != nil || len(hosts) != n {
 					b.Fatalf("%d hosts, error %v", len(hosts), err)
@@ -62,7 +62,7 @@
 				reads := 0
 				for b.Loop() {
 					if changed {
-						client = platform.NewHostClient(platform.ClientConfig{BaseURL: server.URL})
+						client = upstream.NewHostClient(upstream.ClientConfig{BaseURL: server.URL})
 					}
 					if hosts, err = client.Hosts(b.Context()); err != nil {
 						b.Fatal(err)
--- a/platform/envelope.go
+++ b/upstream/envelope.go
@@ -1,4 +1,4 @@
-package platform
+package upstream
 
 import (
 	"encoding/json"
--- a/platform/example_test.go
+++ b/upstream/example_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package upstream_test
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"net/http/httptest"
 
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // A Writer reports the offset only after it has read the record back, here after
@@ -17,13 +17,13 @@
 	srv := httptest.NewServer(log)
 	defer srv.Close()
 
-	client := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL})
-	w := platform.NewWriter(platform.WriterConfig{Log: client, Stream: platform.StreamJobs})
+	client := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL})
+	w := upstream.NewWriter(upstream.WriterConfig{Log: client, Stream: upstream.StreamJobs})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = w.Run(ctx) }()
 
-	e, err := platform.NewEnvelope("job_accepted", map[string]string{"job": "dues-2026-12"})
+	e, err := upstream.NewEnvelope("job_accepted", map[string]string{"job": "dues-2026-12"})
 	if err != nil {
 		fmt.Println(err)
 		return
--- a/platform/platform.go
+++ b/upstream/platform.go
@@ -1,6 +1,6 @@
-// Package platform holds the interfaces to the platform's log service and host
+// Package upstream holds the interfaces to the platform's log service and host
 // list, their HTTP clients, and the batching writer that settles lost answers.
-package platform
+package upstream
 
 import (
 	"context"
--- a/platform/platform_test.go
+++ b/upstream/platform_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package upstream_test
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 func hijackClose(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
@@ -46,7 +46,7 @@
 			if tc.name == "timeout after sending" {
 				defer close(release)
 			}
-			c := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL, Timeout: 200 * time.Millisecond})
+			c := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL, Timeout: 200 * time.Millisecond})
 			_, err := c.Append(context.Background(), "s", [][]byte{[]byte("x")})
 			if got := errkind.Of(err); got != tc.want {
 				t.Errorf("kind %s, want %s (%v)", got, tc.want, err)
@@ -60,18 +60,18 @@
 		}
 		url := "http://" + l.Addr().String()
 		_ = l.Close()
-		_, err = platform.NewLogClient(platform.ClientConfig{BaseURL: url}).Append(context.Background(), "s", [][]byte{nil})
+		_, err = upstream.NewLogClient(upstream.ClientConfig{BaseURL: url}).Append(context.Background(), "s", [][]byte{nil})
 		if got := errkind.Of(err); got != errkind.LogUnavailable {
 			t.Errorf("kind %s, want %s", got, errkind.LogUnavailable)
 		}
 	})
 }
 
-func startWriter(t *testing.T, cfg standin.LogConfig) (*standin.Log, *platform.LogClient, *platform.Writer) {
+func startWriter(t *testing.T, cfg standin.LogConfig) (*standin.Log, *upstream.LogClient, *upstream.Writer) {
 	l := standin.NewLog(cfg)
 	srv := httptest.NewServer(l)
-	client := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL, Timeout: 5 * time.Second})
-	w := platform.NewWriter(platform.WriterConfig{Log: client, Stream: "s", SettleTimeout: 300 * time.Millisecond})
+	client := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL, Timeout: 5 * time.Second})
+	w := upstream.NewWriter(upstream.WriterConfig{Log: client, Stream: "s", SettleTimeout: 300 * time.Millisecond})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = w.Run(ctx) }()
@@ -79,8 +79,8 @@
 	return l, client, w
 }
 
-func envelope(t *testing.T, v any) platform.Envelope {
-	e, err := platform.NewEnvelope("test", v)
+func envelope(t *testing.T, v any) upstream.Envelope {
+	e, err := upstream.NewEnvelope("test", v)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,7 +93,7 @@
 	l.SetFaults(standin.LogFaults{LoseAnswers: -1})
 	for i := range 5 {
 		at, err := w.Append(context.Background(), envelope(t, i))
-		if err != nil || at != platform.Offset(i) {
+		if err != nil || at != upstream.Offset(i) {
 			t.Fatalf("append %d: offset %d, error %v", i, at, err)
 		}
 	}
@@ -107,9 +107,9 @@
 	l, _, _ := startWriter(t, standin.LogConfig{})
 	srv := httptest.NewServer(l)
 	defer srv.Close()
-	impatient := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL, Timeout: 50 * time.Millisecond})
-	direct := platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL, Timeout: 5 * time.Second})
-	w := platform.NewWriter(platform.WriterConfig{Log: splitLog{impatient, direct}, Stream: "s", SettleTimeout: 100 * time.Millisecond})
+	impatient := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL, Timeout: 50 * time.Millisecond})
+	direct := upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL, Timeout: 5 * time.Second})
+	w := upstream.NewWriter(upstream.WriterConfig{Log: splitLog{impatient, direct}, Stream: "s", SettleTimeout: 100 * time.Millisecond})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = w.Run(ctx) }()
@@ -123,13 +123,13 @@
 }
 
 // splitLog appends and reads through different clients.
-type splitLog struct{ appender, reader platform.Log }
+type splitLog struct{ appender, reader upstream.Log }
 
-func (s splitLog) Append(ctx context.Context, stream string, r [][]byte) (platform.Offset, error) {
+func (s splitLog) Append(ctx context.Context, stream string, r [][]byte) (upstream.Offset, error) {
 	return s.appender.Append(ctx, stream, r)
 }
 
-func (s splitLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (s splitLog) Read(ctx context.Context, stream string, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	return s.reader.Read(ctx, stream, from, limit, wait)
 }
 
@@ -138,7 +138,7 @@
 	l, client, w := startWriter(t, standin.LogConfig{})
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	seen := make(map[platform.Offset]bool)
+	seen := make(map[upstream.Offset]bool)
 	for i := range 100 {
 		e := envelope(t, i)
 		wg.Go(func() {
@@ -152,7 +152,7 @@
 				t.Errorf("record %d cannot be read: %v", at, err)
 				return
 			}
-			if got, ok := platform.DecodeEnvelope(b.Records[0].Data); !ok || got.ID != e.ID {
+			if got, ok := upstream.DecodeEnvelope(b.Records[0].Data); !ok || got.ID != e.ID {
 				t.Errorf("offset %d holds another record", at)
 			}
 			mu.Lock()
@@ -182,11 +182,11 @@
 		}
 	}
 	_, err := client.Read(context.Background(), "s", 0, 1, 0)
-	var trimmed *platform.TrimmedError
-	if !errors.Is(err, platform.ErrTrimmed) || !errors.As(err, &trimmed) || trimmed.Oldest != 7 {
+	var trimmed *upstream.TrimmedError
+	if !errors.Is(err, upstream.ErrTrimmed) || !errors.As(err, &trimmed) || trimmed.Oldest != 7 {
 		t.Errorf("error %v, want trimmed with oldest 7", err)
 	}
-	if head, err := platform.Head(context.Background(), client, "s"); err != nil || head != 10 {
+	if head, err := upstream.Head(context.Background(), client, "s"); err != nil || head != 10 {
 		t.Errorf("head %d, want 10 (%v)", head, err)
 	}
 	if n := l.Appends("s"); n != 10 {
@@ -196,12 +196,12 @@
 
 // trimmingLog trims its stream after every read.
 type trimmingLog struct {
-	*platform.LogClient
+	*upstream.LogClient
 	log *standin.Log
-	to  platform.Offset
+	to  upstream.Offset
 }
 
-func (l *trimmingLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *trimmingLog) Read(ctx context.Context, stream string, from upstream.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	b, err := l.LogClient.Read(ctx, stream, from, limit, wait)
 	if l.to < 5 {
 		l.to++
@@ -219,7 +219,7 @@
 		}
 	}
 	l.Trim("s", 1)
-	if head, err := platform.Head(t.Context(), &trimmingLog{client, l, 1}, "s"); err != nil || head != 10 {
+	if head, err := upstream.Head(t.Context(), &trimmingLog{client, l, 1}, "s"); err != nil || head != 10 {
 		t.Errorf("head %d, want 10 (%v)", head, err)
 	}
 }
@@ -229,8 +229,8 @@
 	h := standin.NewHosts(time.Hour)
 	srv := httptest.NewServer(h)
 	defer srv.Close()
-	h.Set(platform.Host{ID: "w", Kind: platform.WorkerHost, State: platform.Live})
-	client := platform.NewHostClient(platform.ClientConfig{BaseURL: srv.URL})
+	h.Set(upstream.Host{ID: "w", Kind: upstream.WorkerHost, State: upstream.Live})
+	client := upstream.NewHostClient(upstream.ClientConfig{BaseURL: srv.URL})
 	if hosts, err := client.Hosts(context.Background()); err != nil || len(hosts) != 0 {
 		t.Errorf("%d hosts before the lag has passed, error %v", len(hosts), err)
 	}
@@ -266,7 +266,7 @@
 		_, _ = w.Write([]byte(`{"hosts":[{"id":"entry-` + version + `"}]}`))
 	}))
 	defer s.Close()
-	c := platform.NewHostClient(platform.ClientConfig{BaseURL: s.URL})
+	c := upstream.NewHostClient(upstream.ClientConfig{BaseURL: s.URL})
 	for _, want := range []string{"1", "1", "1", "2", "2"} {
 		version = want
 		hosts, err := c.Hosts(context.Background())
--- a/platform/writer_test.go
+++ b/upstream/writer_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package upstream_test
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraslb/sassafraslb/internal/standin"
-	"github.com/sassafraslb/sassafraslb/platform"
+	"github.com/sassafraslb/sassafraslb/upstream"
 )
 
 // Guards against a lost answer whose log line does not tell which record to look for.
@@ -21,8 +21,8 @@
 	srv := httptest.NewServer(l)
 	defer srv.Close()
 	var out bytes.Buffer
-	w := platform.NewWriter(platform.WriterConfig{
-		Log: platform.NewLogClient(platform.ClientConfig{BaseURL: srv.URL, Timeout: 5 * time.Second}), Stream: "s", Logger: zerolog.New(&out),
+	w := upstream.NewWriter(upstream.WriterConfig{
+		Log: upstream.NewLogClient(upstream.ClientConfig{BaseURL: srv.URL, Timeout: 5 * time.Second}), Stream: "s", Logger: zerolog.New(&out),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
