--- /dev/null
+++ b/cell/advisors.go
@@ -0,0 +1,117 @@
+package cell
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/sched"
+)
+
+const (
+	// shortAsk is the longest expected duration of a question that every daemon may ask.
+	shortAsk = 40 * time.Millisecond
+	// mediumAsk is the same for the daemons that are kept for short and medium ones.
+	mediumAsk = 250 * time.Millisecond
+	// askSlack bounds a question beyond its expected duration.
+	askSlack = 600 * time.Millisecond
+	// advisorPause is how long a daemon is not used after it failed to ask.
+	advisorPause = 500 * time.Millisecond
+)
+
+// advisorState is a daemon through which questions go to the advisor. The
+// advisor answers one question at a time for each daemon.
+type advisorState struct {
+	busy  bool
+	after time.Duration // not used before
+}
+
+// assigned is a question with the daemon that asks it.
+type assigned struct {
+	ask     sched.Ask
+	address string // empty for this daemon
+}
+
+// nextAsks gives questions to daemons that are free. Slow questions may keep all
+// but a few daemons busy, so that quick ones never wait behind them. l.mu is held.
+func (l *lead) nextAsks(now time.Duration) []assigned {
+	if l.d.set.Advisor == nil {
+		return nil
+	}
+	addresses := []string{""}
+	for address, p := range l.peers {
+		if now-p.seen < peerAge {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	var out []assigned
+	for i, address := range addresses {
+		a := l.advisors[address]
+		if a == nil {
+			a = &advisorState{}
+			l.advisors[address] = a
+		}
+		if a.busy || now < a.after {
+			continue
+		}
+		ask, ok := l.engine.NextAsk(askLimit(i, len(addresses)), now)
+		if !ok {
+			continue
+		}
+		a.busy = true
+		out = append(out, assigned{ask, address})
+	}
+	return out
+}
+
+// askLimit is the longest question for daemon i of n. Of four daemons, one is
+// kept for short questions and one for short and medium ones.
+func askLimit(i, n int) time.Duration {
+	const unlimited = time.Hour
+	kept := (n + 3) / 4
+	switch {
+	case n < 3:
+		return unlimited
+	case i < kept:
+		return shortAsk
+	case i < 2*kept:
+		return mediumAsk
+	}
+	return unlimited
+}
+
+// ask has one question asked.
+func (l *lead) ask(ctx context.Context, a assigned) {
+	sent := l.clock()
+	limited, cancel := context.WithTimeout(ctx, a.ask.Expected+askSlack)
+	defer cancel()
+	var good map[string]string
+	var valid time.Duration
+	var err error
+	if a.address == "" {
+		good, valid, err = l.d.set.Advisor.Ask(limited, a.ask.Step, a.ask.Machines)
+	} else {
+		var out *reply
+		out, err = l.d.peers.call(limited, a.address, rpcAsk, &call{Step: a.ask.Step, Machines: a.ask.Machines})
+		if out != nil {
+			good, valid = out.Tickets, out.Valid
+		}
+	}
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+		l.log.Warn().Str("event", "ask_failed").Str("step", a.ask.Step).Str("daemon", a.address).Err(err).Send()
+	}
+	l.d.set.Metrics.Advice.WithLabelValues(outcome).Inc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	state := l.advisors[a.address]
+	state.busy = false
+	if err != nil {
+		state.after = now + advisorPause
+	}
+	l.engine.Answered(a.ask, good, valid, err == nil, sent, now)
+	kick(l.planSoon)
+}
--- /dev/null
+++ b/cell/logroute.go
@@ -0,0 +1,154 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+const (
+	// directRetry is how long calls go through another daemon after the log did not
+	// answer this one.
+	directRetry = 1500 * time.Millisecond
+	// directTimeout bounds a direct call, beyond the time that it may wait, while
+	// another daemon could make it.
+	directTimeout = 450 * time.Millisecond
+)
+
+// routedLog calls the log directly, and through another daemon while the log
+// does not answer this one.
+type routedLog struct {
+	direct Log
+	peers  *peers
+	clock  Clock
+	log    zerolog.Logger
+
+	mu       sync.Mutex
+	relays   []string // addresses of daemons that reach the log
+	badUntil time.Duration
+	turn     int
+}
+
+var _ Log = (*routedLog)(nil)
+
+// setRelays replaces the daemons that can make calls for this one.
+func (r *routedLog) setRelays(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relays = addresses
+}
+
+// route returns whether to call directly, and the daemon to use otherwise.
+func (r *routedLog) route() (direct bool, relay string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.relays) > 0 {
+		r.turn++
+		relay = r.relays[r.turn%len(r.relays)]
+	}
+	return r.clock() >= r.badUntil || relay == "", relay
+}
+
+// note remembers whether the log answered a direct call.
+func (r *routedLog) note(ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
+		r.badUntil = 0
+		return
+	}
+	if r.badUntil == 0 && len(r.relays) > 0 {
+		r.log.Warn().Str("event", "log_through_relays").Int("relays", len(r.relays)).Send()
+	}
+	r.badUntil = r.clock() + directRetry
+}
+
+// answered reports whether err, which may be nil, is an answer of the log itself.
+func answered(err error) bool {
+	if err == nil {
+		return true
+	}
+	switch errkind.Of(err) {
+	case errkind.Conflict, errkind.StaleEpoch, errkind.NotFound:
+		return true
+	}
+	return false
+}
+
+// do makes one call, directly if possible.
+func (r *routedLog) do(ctx context.Context, c *logCall, direct func(context.Context) (Page, error)) (Page, error) {
+	useDirect, relay := r.route()
+	if useDirect {
+		limited, cancel := ctx, context.CancelFunc(func() {})
+		if relay != "" {
+			limited, cancel = context.WithTimeout(ctx, c.Wait+directTimeout)
+		}
+		page, err := direct(limited)
+		cancel()
+		if answered(err) || ctx.Err() != nil {
+			r.note(answered(err))
+			return page, err
+		}
+		r.note(false)
+		if relay == "" {
+			return page, err
+		}
+	}
+	out, err := r.peers.call(ctx, relay, rpcLog, &call{Log: c})
+	if err != nil && errkind.Of(err) == errkind.OutcomeUnknown && c.Kind == "append" {
+		return Page{}, errkind.Wrap(errkind.AppendUnknown, "relay_silent", err)
+	}
+	if out == nil {
+		return Page{}, errkind.Wrap(errkind.LogUnavailable, "relay_failed", err)
+	}
+	if out.Page == nil {
+		out.Page = &Page{}
+	}
+	return *out.Page, err
+}
+
+// Append implements Log. A repeat through another way is safe: the log knows the
+// writer, its epoch and the sequence number.
+func (r *routedLog) Append(ctx context.Context, s Stream, entries []Entry, f Fence) error {
+	_, err := r.do(ctx, &logCall{Stream: s, Kind: "append", Entries: entries, Fence: f}, func(ctx context.Context) (Page, error) {
+		return Page{}, r.direct.Append(ctx, s, entries, f)
+	})
+	return err
+}
+
+// Read implements Log.
+func (r *routedLog) Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error) {
+	return r.do(ctx, &logCall{Stream: s, Kind: "read", From: from, Wait: wait}, func(ctx context.Context) (Page, error) {
+		return r.direct.Read(ctx, s, from, wait)
+	})
+}
+
+// Newest implements Log.
+func (r *routedLog) Newest(ctx context.Context, s Stream) (Page, error) {
+	return r.do(ctx, &logCall{Stream: s, Kind: "newest"}, func(ctx context.Context) (Page, error) {
+		return r.direct.Newest(ctx, s)
+	})
+}
+
+// serveLog makes a call to the log for another daemon.
+func serveLog(ctx context.Context, direct Log, c *logCall) (*reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+directTimeout)
+	defer cancel()
+	var page Page
+	var err error
+	switch c.Kind {
+	case "append":
+		err = direct.Append(ctx, c.Stream, c.Entries, c.Fence)
+	case "read":
+		page, err = direct.Read(ctx, c.Stream, c.From, c.Wait)
+	case "newest":
+		page, err = direct.Newest(ctx, c.Stream)
+	default:
+		err = errkind.New(errkind.BadInput, "log_call", "unknown call %q", c.Kind)
+	}
+	return &reply{Page: &page}, err
+}
--- /dev/null
+++ b/cell/metrics.go
@@ -0,0 +1,61 @@
+package cell
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the metrics of a Daemon.
+type Metrics struct {
+	Registry  *prometheus.Registry
+	Requests  *prometheus.CounterVec   // by call and status
+	Latency   *prometheus.HistogramVec // seconds, by call
+	Refusals  *prometheus.CounterVec   // by reason
+	Starts    *prometheus.CounterVec   // orders by outcome
+	Retries   *prometheus.CounterVec   // by what was repeated
+	StartTime prometheus.Histogram     // seconds from order to answer
+	Appends   *prometheus.CounterVec   // by outcome
+	Store     prometheus.Histogram     // seconds of an append
+	Advice    *prometheus.CounterVec   // questions by outcome
+	Live      prometheus.Gauge
+	Waiting   prometheus.Gauge
+	Leading   prometheus.Gauge
+}
+
+// NewMetrics returns registered metrics.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		Requests: counter("cell_requests_total", "Requests of callers.", "call", "status"),
+		Refusals: counter("cell_refusals_total", "Requests that were refused, by reason.", "reason"),
+		Starts:   counter("cell_start_orders_total", "Start orders, by outcome.", "outcome"),
+		Retries:  counter("cell_retries_total", "Repeated calls, by what was repeated.", "what"),
+		Appends:  counter("cell_log_appends_total", "Appends of job state, by outcome.", "outcome"),
+		Advice:   counter("cell_advice_total", "Questions to the advisor, by outcome.", "outcome"),
+		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cell_request_seconds", Help: "Time to answer a request of a caller.", Buckets: latencyBuckets,
+		}, []string{"call"}),
+		StartTime: histogram("cell_start_order_seconds", "Time from a start order to its answer."),
+		Store:     histogram("cell_log_append_seconds", "Time of an append of job state."),
+		Live:      gauge("cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
+		Waiting:   gauge("cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
+		Leading:   gauge("cell_leading", "1 while this daemon leads the cell."),
+	}
+	m.Registry.MustRegister(m.Requests, m.Refusals, m.Starts, m.Retries, m.Appends, m.Advice, m.Latency, m.StartTime,
+		m.Store, m.Live, m.Waiting, m.Leading)
+	return m
+}
+
+// latencyBuckets reach from a call within a zone to the longest time that callers wait.
+var latencyBuckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets})
+}
--- /dev/null
+++ b/cell/orders.go
@@ -0,0 +1,217 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
+	"github.com/sassafraslb/sassafraslb/sched"
+)
+
+const (
+	// startTimeout is how long a start order waits for its answer. It is several
+	// round trips between regions; a task that is not confirmed is placed again.
+	startTimeout = 350 * time.Millisecond
+	// stopTimeout is how long a stop order waits for its answer.
+	stopTimeout = 500 * time.Millisecond
+	// lookWait is how long a machine holds the answer to a look until a run ends.
+	lookWait = 2 * time.Second
+	// lookSlack bounds a look beyond the time that it may wait.
+	lookSlack = 600 * time.Millisecond
+	// lookRetry is the wait after a look that was not answered.
+	lookRetry = 150 * time.Millisecond
+	// ackWait is how long the next look waits for the ends of the last one to be
+	// stored, so that it acknowledges them.
+	ackWait = 250 * time.Millisecond
+	// tendEvery is the interval at which new machines are noticed.
+	tendEvery = 100 * time.Millisecond
+)
+
+// tending is the goroutine that looks at one machine.
+type tending struct {
+	cancel context.CancelFunc
+}
+
+// tend keeps one goroutine for each machine of the engine.
+func (l *lead) tend(ctx context.Context, group *sync.WaitGroup) {
+	group.Go(func() {
+		for {
+			l.tendAll(ctx, group)
+			if !pause.For(ctx, tendEvery) {
+				return
+			}
+		}
+	})
+}
+
+func (l *lead) tendAll(ctx context.Context, group *sync.WaitGroup) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := make(map[string]bool)
+	for _, v := range l.engine.Machines() {
+		id := v.Machine.ID
+		known[id] = true
+		if l.tended[id] == nil {
+			own, cancel := context.WithCancel(ctx)
+			l.tended[id] = &tending{cancel}
+			group.Go(func() { l.look(own, id) })
+		}
+	}
+	for id, t := range l.tended {
+		if !known[id] {
+			t.cancel()
+			delete(l.tended, id)
+		}
+	}
+}
+
+// look follows one machine until ctx ends.
+func (l *lead) look(ctx context.Context, id string) {
+	wait := time.Duration(0)
+	silent := false
+	for ctx.Err() == nil {
+		err := l.lookOnce(ctx, id, wait)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			if silent {
+				l.log.Info().Str("event", "dependency_regained").Str("dependency", "machine").Str("machine", id).Send()
+			}
+			silent = false
+			wait = l.awaitStored(ctx, id)
+		default:
+			if !silent {
+				l.log.Warn().Str("event", "dependency_lost").Str("dependency", "machine").Str("machine", id).Err(err).Send()
+			}
+			silent = true
+			if errkind.Of(err) == errkind.NotFound {
+				l.replaced(id)
+			}
+			wait = 0
+			pause.For(ctx, lookRetry)
+		}
+	}
+}
+
+// lookOnce makes one look and hands the answer to the engine.
+func (l *lead) lookOnce(ctx context.Context, id string, wait time.Duration) error {
+	l.mu.Lock()
+	view, ok := l.engine.Machine(id)
+	end, ack, _ := l.engine.LeaseFor(id, l.clock())
+	l.mu.Unlock()
+	if !ok {
+		return errkind.New(errkind.Unreachable, "machine_unknown", "machine %s is not known", id)
+	}
+	if !l.d.tenure.Held() {
+		end = 0 // only a leader whose tenure is confirmed extends leases
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+lookSlack)
+	defer cancel()
+	sent := l.clock()
+	seen, err := l.d.set.Workers.Look(limited, view.Machine, view.Token, end, ack, wait)
+	if err != nil {
+		return err
+	}
+	seen.Sent = sent
+	l.mu.Lock()
+	l.engine.Observe(id, view.Token, seen, l.clock())
+	l.mu.Unlock()
+	if len(seen.Ended) > 0 {
+		kick(l.flushSoon)
+	}
+	kick(l.planSoon)
+	return nil
+}
+
+// awaitStored waits until the ends of the last look are stored, and returns how
+// long the next look may wait for an end.
+func (l *lead) awaitStored(ctx context.Context, id string) time.Duration {
+	deadline := l.clock() + ackWait
+	for {
+		l.mu.Lock()
+		ackable, processed := l.engine.Acknowledged(id)
+		urgent := l.engine.NeedsLook(id)
+		stored := l.stored
+		l.mu.Unlock()
+		left := deadline - l.clock()
+		switch {
+		case urgent:
+			pause.For(ctx, planGap)
+			return 0
+		case processed <= ackable:
+			return lookWait
+		case left <= 0:
+			return 0
+		}
+		select {
+		case <-stored:
+		case <-ctx.Done():
+			return 0
+		case <-time.After(left):
+		}
+	}
+}
+
+// replaced tells the engine that another incarnation answers at the address of a machine.
+func (l *lead) replaced(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.engine.Replaced(id, l.clock())
+	kick(l.planSoon)
+}
+
+// start sends a start order.
+func (l *lead) start(ctx context.Context, o sched.Start) {
+	l.mu.Lock()
+	end, _, _ := l.engine.LeaseFor(o.Machine.ID, l.clock())
+	l.mu.Unlock()
+	outcome := sched.NotSent
+	var err error
+	sent := l.clock()
+	if l.d.tenure.Held() && end != 0 {
+		limited, cancel := context.WithTimeout(ctx, startTimeout)
+		outcome, err = l.d.set.Workers.Start(limited, o, end)
+		cancel()
+		l.d.set.Metrics.StartTime.Observe((l.clock() - sent).Seconds())
+	}
+	if err != nil {
+		l.log.Warn().Str("event", "start_failed").Str("task", o.Task).Int64("run", o.Run).Str("machine", o.Machine.ID).Err(err).Send()
+	}
+	l.d.set.Metrics.Starts.WithLabelValues(string(outcome)).Inc()
+	l.mu.Lock()
+	l.engine.StartAnswered(o, outcome, l.clock())
+	l.mu.Unlock()
+	if outcome != sched.Started {
+		kick(l.planSoon)
+	}
+	if outcome == sched.RefusedFence {
+		l.d.tenure.GiveUp("a machine has seen a newer leader")
+	}
+}
+
+// stop sends a stop order.
+func (l *lead) stop(ctx context.Context, o sched.Stop) {
+	if !l.d.tenure.Held() {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, stopTimeout)
+	err := l.d.set.Workers.Stop(limited, o)
+	cancel()
+	if err != nil {
+		l.d.set.Metrics.Retries.WithLabelValues("stop").Inc()
+		l.log.Warn().Str("event", "stop_failed").Str("task", o.Task).Int64("run", o.Run).Str("machine", o.Machine.ID).Err(err).Send()
+	}
+	l.mu.Lock()
+	l.engine.StopAnswered(o, err == nil, l.clock())
+	urgent := l.engine.NeedsLook(o.Machine.ID)
+	l.mu.Unlock()
+	if urgent {
+		// The look under way may wait for long; a second one settles the stop.
+		if err := l.lookOnce(ctx, o.Machine.ID, 0); err != nil {
+			l.log.Debug().Str("event", "look_failed").Str("machine", o.Machine.ID).Err(err).Send()
+		}
+	}
+}
--- /dev/null
+++ b/cell/tenure.go
@@ -0,0 +1,339 @@
+package cell
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/pause"
+	"github.com/sassafraslb/sassafraslb/sched"
+)
+
+const (
+	// heartbeatEvery is the interval of the leader's heartbeats in the log. Each
+	// costs one append and one read per daemon.
+	heartbeatEvery = 300 * time.Millisecond
+	// tenureFor is how long a leader may give orders after it sent a heartbeat that
+	// was stored.
+	tenureFor = 1000 * time.Millisecond
+	// takeoverAfter is the silence in a readable log after which a daemon claims
+	// leadership. It is longer than tenureFor plus the drift of two clocks.
+	takeoverAfter = 1300 * time.Millisecond
+	// rankSpan spreads the claims of the daemons, so that rarely two are made at once.
+	rankSpan = 250 * time.Millisecond
+	// distanceFactor delays claims of daemons that are far from the log, by their
+	// round trip times this factor.
+	distanceFactor = 25
+	// yieldFor is how long a daemon that has given leadership up leaves it to others.
+	yieldFor = 6 * time.Second
+	// logTimeout bounds a call to the log, beyond the time that it may wait.
+	logTimeout = 900 * time.Millisecond
+	// logRetry is the wait after a failed call to the log.
+	logRetry = 150 * time.Millisecond
+)
+
+// Leader is the daemon that leads the cell.
+type Leader struct {
+	Daemon  string `cbor:"1,keyasint"`
+	Life    int64  `cbor:"2,keyasint"`           // start of the daemon's process, Unix ns
+	Address string `cbor:"3,keyasint"`           // for calls between daemons
+	Term    int64  `cbor:"4,keyasint"`           // rises with each leader
+	Left    bool   `cbor:"5,keyasint,omitempty"` // it has given leadership up
+}
+
+// Token is the first fencing token of the leader's term.
+func (l Leader) Token() int64 { return l.Term * sched.TokensPerTenure }
+
+// TenureConfig configures a Tenure.
+type TenureConfig struct {
+	Self  Leader // without Term
+	Log   Log
+	Clock Clock
+	// Lead runs while this daemon leads. It must return soon after ctx ends.
+	Lead   func(ctx context.Context, term int64)
+	Logger zerolog.Logger
+}
+
+// Tenure follows who leads the cell, and claims leadership when nobody does.
+//
+// A claim is an append under the condition that the log has not moved on. The
+// offset of the claim is the term, so that a later claim has a higher one; the
+// log refuses appends of earlier terms.
+type Tenure struct {
+	cfg TenureConfig
+
+	mu         sync.Mutex
+	leader     Leader
+	heardAt    time.Duration // last sign of life of the leader
+	validUntil time.Duration // end of this daemon's own tenure, 0 if it does not lead
+	yieldUntil time.Duration
+	reachable  bool // the last call to the log was answered
+	giveUp     context.CancelFunc
+	distance   time.Duration // least round trip to the log
+	changed    chan struct{}
+}
+
+// NewTenure returns a Tenure that does nothing until Run.
+func NewTenure(cfg TenureConfig) *Tenure {
+	return &Tenure{cfg: cfg, changed: make(chan struct{})}
+}
+
+// Leader returns the last known leader, and false if there is none.
+func (t *Tenure) Leader() (Leader, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leader, t.leader.Term != 0 && !t.leader.Left
+}
+
+// Changed returns a channel that is closed when the leader changes.
+func (t *Tenure) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Held reports whether this daemon leads and may give orders.
+func (t *Tenure) Held() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cfg.Clock() < t.validUntil
+}
+
+// Reachable reports whether the last call to the log was answered.
+func (t *Tenure) Reachable() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reachable
+}
+
+// GiveUp ends this daemon's leadership, if it has it, and leaves it to others
+// for some seconds.
+func (t *Tenure) GiveUp(why string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.yieldUntil = t.cfg.Clock() + yieldFor
+	if t.giveUp != nil {
+		t.cfg.Logger.Warn().Str("event", "leadership_given_up").Int64("term", t.leader.Term).Str("reason", why).Send()
+		t.giveUp()
+	}
+}
+
+// Run follows the log until ctx ends. A leader gives leadership up before it returns.
+func (t *Tenure) Run(ctx context.Context) {
+	next := int64(0)
+	quietSince := t.cfg.Clock() // since when the log is readable without a sign of a leader
+	for ctx.Err() == nil {
+		wait := quietSince + t.patience() - t.cfg.Clock()
+		wait = min(max(wait, 0), heartbeatEvery*3)
+		page, err := t.read(ctx, next, wait)
+		now := t.cfg.Clock()
+		switch {
+		case errkind.Of(err) == errkind.NotFound && err != nil:
+			next = page.End
+			continue
+		case err != nil:
+			t.noteReach(false, err)
+			pause.For(ctx, logRetry)
+			quietSince = t.cfg.Clock()
+			continue
+		}
+		t.noteReach(true, nil)
+		for _, e := range page.Entries {
+			next = e.Offset + 1
+			if t.follow(e, now) {
+				quietSince = now
+			}
+		}
+		next = max(next, page.End)
+		if now-quietSince < t.patience() {
+			continue
+		}
+		if term, ok := t.claim(ctx, next); ok {
+			t.lead(ctx, term)
+		}
+		quietSince = t.cfg.Clock()
+	}
+}
+
+// patience is the silence after which this daemon claims leadership.
+func (t *Tenure) patience() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(t.cfg.Self.Daemon)) // a hash does not fail
+	rank := time.Duration(h.Sum32()%64) * rankSpan / 64
+	p := takeoverAfter
+	if t.leader.Left {
+		p = 0
+	}
+	if left := t.yieldUntil - t.cfg.Clock(); left > 0 {
+		p += left
+	}
+	return p + rank + t.distance*distanceFactor
+}
+
+// read reads the tenure stream and measures how far away the log is.
+func (t *Tenure) read(ctx context.Context, from int64, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+logTimeout)
+	defer cancel()
+	sent := t.cfg.Clock()
+	page, err := t.cfg.Log.Read(ctx, StreamTenure, from, wait)
+	if took := t.cfg.Clock() - sent; err == nil && wait == 0 {
+		t.measured(took)
+	}
+	return page, err
+}
+
+func (t *Tenure) measured(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.distance == 0 || took < t.distance {
+		t.distance = took
+	}
+}
+
+func (t *Tenure) noteReach(ok bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ok == t.reachable {
+		return
+	}
+	t.reachable = ok
+	if ok {
+		t.cfg.Logger.Info().Str("event", "dependency_regained").Str("dependency", "log").Send()
+		return
+	}
+	t.cfg.Logger.Warn().Str("event", "dependency_lost").Str("dependency", "log").Err(err).Send()
+}
+
+// follow takes an entry of the stream into account. It reports whether the
+// entry shows that a leader is alive or has just left.
+func (t *Tenure) follow(e Entry, now time.Duration) bool {
+	var l Leader
+	if err := cbor.Unmarshal(e.Value, &l); err != nil {
+		t.cfg.Logger.Error().Str("event", "record_unreadable").Int64("offset", e.Offset).Err(err).Send()
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l.Term < t.leader.Term {
+		return false
+	}
+	t.heardAt = now
+	if l != t.leader {
+		t.setLeader(l)
+	}
+	return true
+}
+
+// setLeader replaces the leader; t.mu must be held.
+func (t *Tenure) setLeader(l Leader) {
+	t.leader = l
+	close(t.changed)
+	t.changed = make(chan struct{})
+	t.cfg.Logger.Info().Str("event", "leader_changed").Str("leader", l.Daemon).Str("address", l.Address).
+		Int64("term", l.Term).Bool("left", l.Left).Send()
+}
+
+// claim tries to become the leader of the term that begins at offset at.
+func (t *Tenure) claim(ctx context.Context, at int64) (int64, bool) {
+	l := t.cfg.Self
+	l.Term = at + 1
+	t.cfg.Logger.Info().Str("event", "leadership_claimed").Int64("term", l.Term).Send()
+	sent := t.cfg.Clock()
+	err := t.append(ctx, l, Fence{Epoch: l.Term, Sequence: 0, At: at})
+	if errkind.Of(err) == errkind.AppendUnknown && err != nil {
+		// The claim may be stored. A repeat under the same condition tells, since the
+		// log answers a repeated append as it did the first time.
+		err = t.append(ctx, l, Fence{Epoch: l.Term, Sequence: 0, At: at})
+	}
+	if err != nil {
+		t.cfg.Logger.Info().Str("event", "claim_failed").Int64("term", l.Term).Err(err).Send()
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setLeader(l)
+	t.validUntil = sent + tenureFor
+	return l.Term, true
+}
+
+func (t *Tenure) append(ctx context.Context, l Leader, f Fence) error {
+	data, err := cbor.Marshal(l)
+	if err != nil {
+		return errkind.Wrap(errkind.InternalFailure, "encode", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	return t.cfg.Log.Append(ctx, StreamTenure, []Entry{{Value: data}}, f)
+}
+
+// lead runs the leader's work and its heartbeats until leadership is lost.
+func (t *Tenure) lead(ctx context.Context, term int64) {
+	work, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.mu.Lock()
+	t.giveUp = cancel
+	l := t.leader
+	t.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t.cfg.Lead(work, term)
+	}()
+	sequence, fenced := t.heartbeats(work, l)
+	cancel()
+	t.mu.Lock()
+	t.validUntil, t.giveUp = 0, nil
+	t.mu.Unlock()
+	<-done
+	if fenced {
+		t.cfg.Logger.Warn().Str("event", "leadership_lost").Int64("term", term).Send()
+		return
+	}
+	l.Left = true
+	late, stop := context.WithTimeout(context.WithoutCancel(ctx), logTimeout)
+	defer stop()
+	if err := t.append(late, l, Fence{Epoch: term, Sequence: sequence, At: -1}); err != nil {
+		t.cfg.Logger.Warn().Str("event", "farewell_not_stored").Int64("term", term).Err(err).Send()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leader.Term == term {
+		t.setLeader(l)
+	}
+}
+
+// heartbeats appends heartbeats until ctx ends or another leader is found. It
+// returns the next sequence number.
+func (t *Tenure) heartbeats(ctx context.Context, l Leader) (next int64, fenced bool) {
+	sequence := int64(1)
+	for pause.For(ctx, heartbeatEvery) {
+		sent := t.cfg.Clock()
+		err := t.append(ctx, l, Fence{Epoch: l.Term, Sequence: sequence, At: -1})
+		switch kind := errkind.Of(err); {
+		case err == nil:
+			sequence++
+			t.mu.Lock()
+			if t.cfg.Clock() >= t.validUntil {
+				t.cfg.Logger.Warn().Str("event", "tenure_resumed").Int64("term", l.Term).
+					Int64("gap_ms", (t.cfg.Clock() - t.validUntil).Milliseconds()).Send()
+			}
+			t.validUntil = sent + tenureFor
+			t.mu.Unlock()
+			t.noteReach(true, nil)
+		case kind == errkind.StaleEpoch:
+			return sequence, true
+		case kind == errkind.Conflict:
+			sequence++ // an earlier append that was not answered is stored
+		case ctx.Err() == nil:
+			t.noteReach(false, err)
+		}
+	}
+	return sequence, false
+}
--- /dev/null
+++ b/cell/wire.go
@@ -0,0 +1,178 @@
+package cell
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/sched"
+)
+
+// The calls between daemons. They are encoded as CBOR over drpc.
+const (
+	rpcSubmit = "/cell/submit"
+	rpcState  = "/cell/state"
+	rpcCancel = "/cell/cancel"
+	rpcHello  = "/cell/hello"
+	rpcAsk    = "/cell/ask"
+	rpcLog    = "/cell/log"
+)
+
+// call is a request between daemons; each call uses the fields that it needs.
+type call struct {
+	Job      *sched.Job    `cbor:"1,keyasint,omitempty"`
+	ID       string        `cbor:"2,keyasint,omitempty"` // of a job
+	Daemon   string        `cbor:"3,keyasint,omitempty"`
+	Address  string        `cbor:"4,keyasint,omitempty"`
+	Step     string        `cbor:"5,keyasint,omitempty"`
+	Machines []string      `cbor:"6,keyasint,omitempty"`
+	Log      *logCall      `cbor:"7,keyasint,omitempty"`
+	Reach    bool          `cbor:"8,keyasint,omitempty"` // the caller reaches the log
+	Wait     time.Duration `cbor:"9,keyasint,omitempty"`
+}
+
+// logCall is a call to the log that a daemon makes for another one.
+type logCall struct {
+	Stream  Stream        `cbor:"1,keyasint"`
+	Kind    string        `cbor:"2,keyasint"`
+	Entries []Entry       `cbor:"3,keyasint,omitempty"`
+	Fence   Fence         `cbor:"4,keyasint,omitempty"`
+	From    int64         `cbor:"5,keyasint,omitempty"`
+	Wait    time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+// reply is the answer to a call.
+type reply struct {
+	Kind    errkind.Kind      `cbor:"1,keyasint,omitempty"` // empty on success
+	Reason  string            `cbor:"2,keyasint,omitempty"`
+	Detail  string            `cbor:"3,keyasint,omitempty"`
+	State   sched.JobState    `cbor:"4,keyasint,omitempty"`
+	Known   bool              `cbor:"5,keyasint,omitempty"`
+	Pending map[string]int    `cbor:"6,keyasint,omitempty"`
+	Tickets map[string]string `cbor:"7,keyasint,omitempty"`
+	Valid   time.Duration     `cbor:"8,keyasint,omitempty"`
+	Page    *Page             `cbor:"9,keyasint,omitempty"`
+	Peers   []string          `cbor:"10,keyasint,omitempty"` // addresses of daemons that reach the log
+}
+
+// err returns the error that the reply carries.
+func (r *reply) err() error {
+	if r.Kind == "" {
+		return nil
+	}
+	return errkind.New(r.Kind, r.Reason, "%s", r.Detail)
+}
+
+// fail stores err in the reply.
+func (r *reply) fail(err error) {
+	if err == nil {
+		return
+	}
+	r.Kind, r.Reason, r.Detail = errkind.Of(err), errkind.ReasonOf(err), err.Error()
+	var e *errkind.Error
+	if errors.As(err, &e) {
+		r.Detail = e.Detail
+	}
+}
+
+// codec encodes the messages of all calls.
+type codec struct{}
+
+// Marshal implements drpc.Encoding.
+func (codec) Marshal(m drpc.Message) ([]byte, error) { return cbor.Marshal(m) }
+
+// Unmarshal implements drpc.Encoding.
+func (codec) Unmarshal(b []byte, m drpc.Message) error { return cbor.Unmarshal(b, m) }
+
+// handler answers one kind of call.
+type handler func(ctx context.Context, c *call) (*reply, error)
+
+// service describes the calls to drpc.
+type service []struct {
+	name string
+	fn   handler
+}
+
+// NumMethods implements drpc.Description.
+func (s service) NumMethods() int { return len(s) }
+
+// Method implements drpc.Description.
+func (s service) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if n < 0 || n >= len(s) {
+		return "", nil, nil, nil, false
+	}
+	fn := s[n].fn
+	receive := func(_ any, ctx context.Context, in, _ any) (drpc.Message, error) {
+		c, ok := in.(*call)
+		if !ok {
+			return nil, errors.Errorf("message of type %T", in)
+		}
+		out, err := fn(ctx, c)
+		if out == nil {
+			out = &reply{}
+		}
+		out.fail(err)
+		return out, nil
+	}
+	return s[n].name, codec{}, receive, methodShape, true
+}
+
+// methodShape tells drpc the types of the messages.
+var methodShape = (*shape).Handle
+
+type shape struct{}
+
+// Handle has the signature of a unary call.
+func (*shape) Handle(context.Context, *call) (*reply, error) { return nil, nil }
+
+// idleConnections bounds the idle connections to one daemon. A connection
+// carries one call at a time.
+const idleConnections = 8
+
+// connectTimeout bounds the set-up of a connection to another daemon.
+const connectTimeout = 500 * time.Millisecond
+
+// peers holds the connections to other daemons.
+type peers struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+func newPeers() *peers {
+	return &peers{drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration: 30 * time.Second, KeyCapacity: idleConnections,
+	})}
+}
+
+// call sends a request to the daemon at address. An error of kind unreachable
+// means that nothing was sent; outcome_unknown, that no answer came.
+func (p *peers) call(ctx context.Context, address, name string, c *call) (*reply, error) {
+	dialed := true
+	conn := p.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		d := net.Dialer{Timeout: connectTimeout}
+		raw, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			dialed = false
+			return nil, err
+		}
+		return drpcconn.New(raw), nil
+	})
+	defer conn.Close()
+	out := &reply{}
+	if err := conn.Invoke(ctx, name, codec{}, c, out); err != nil {
+		if !dialed {
+			return nil, errkind.Wrap(errkind.Unreachable, "dial", err)
+		}
+		return nil, errkind.Wrap(errkind.OutcomeUnknown, "no_answer", err)
+	}
+	return out, out.err()
+}
+
+func joinPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
--- /dev/null
+++ b/cmd/sassafraslb-cell/main.go
@@ -0,0 +1,62 @@
+// Command sassafraslb-cell is the daemon for a cell whose log and machines belong
+// to the users' platform. Its settings file is written by the platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sassafraslb/sassafraslb/internal/buildinfo"
+	"github.com/sassafraslb/sassafraslb/platform"
+)
+
+// memoryShare is the part of the memory limit that the heap and the runtime may
+// use; the rest is for the C library and the kernel's buffers.
+const memoryShare = 0.7
+
+func main() {
+	app := kingpin.New("sassafraslb-cell", "Scheduler daemon for a cell on the users' platform.")
+	app.Version(buildinfo.Version("sassafraslb-cell")).UsageWriter(os.Stdout)
+	entry := app.Command("entry", "Serve callers until SIGTERM or SIGINT, then stop without cutting open requests.").Default()
+	metrics := entry.Flag("metrics", "IP:port of the metrics. Metrics are not served if it is empty.").String()
+	check := app.Command("check", "Check the settings file and exit 1 if it has a fault.")
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case entry.FullCommand():
+		os.Exit(run(*metrics))
+	case check.FullCommand():
+		os.Exit(checkSettings())
+	}
+}
+
+func checkSettings() int {
+	if _, err := platform.LoadSettings(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	fmt.Println("settings are valid")
+	return 0
+}
+
+func run(metrics string) int {
+	set, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := platform.Run(ctx, set, metrics, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/logline/queue.go
@@ -0,0 +1,70 @@
+package logline
+
+import (
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queueLines bounds the lines that wait for a slow reader.
+	queueLines = 4096
+	// closeWait bounds how long Close waits for the reader.
+	closeWait = 300 * time.Millisecond
+)
+
+// Queue is a writer that never blocks its caller: lines wait in a bounded queue,
+// and lines beyond it are dropped and counted.
+type Queue struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	mu      sync.RWMutex
+	closed  bool
+}
+
+// NewQueue returns a Queue that writes to out.
+func NewQueue(out io.Writer) *Queue {
+	q := &Queue{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go q.run(out)
+	return q
+}
+
+func (q *Queue) run(out io.Writer) {
+	defer close(q.done)
+	for line := range q.lines {
+		if n := q.dropped.Swap(0); n > 0 {
+			_, _ = io.WriteString(out, `{"event":"log_lines_dropped","lines":`+strconv.FormatInt(n, 10)+"}\n")
+		}
+		_, _ = out.Write(line) // a log that cannot be written has no other place to be reported
+	}
+}
+
+// Write implements io.Writer. It keeps a copy of p and never fails.
+func (q *Queue) Write(p []byte) (int, error) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		return len(p), nil
+	}
+	select {
+	case q.lines <- append([]byte(nil), p...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Close writes what waits, for a short time, and drops what comes later.
+func (q *Queue) Close() {
+	q.mu.Lock()
+	q.closed = true
+	close(q.lines)
+	q.mu.Unlock()
+	select {
+	case <-q.done:
+	case <-time.After(closeWait):
+	}
+}
--- /dev/null
+++ b/sched/gang.go
@@ -0,0 +1,232 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+const (
+	// gangReserve is the part of Config.GangWait after which a member that is still
+	// missing ends the attempt, so that no member waits in vain on its machine.
+	gangReserve = 0.6
+	// abortPatience is how long the members of a gang are given to end by
+	// themselves after one has ended. Then they are stopped.
+	abortPatience = 300 * time.Millisecond
+	// gangPause is how long a gang waits after an attempt that did not come together.
+	gangPause = 200 * time.Millisecond
+)
+
+// placeGang starts all members of a gang, or replaces members that are missing
+// from a young attempt, or keeps machines free for it.
+func (p *pass) placeGang(s *step) {
+	e := p.e
+	if s.gang.run != 0 {
+		if !s.gang.aborting {
+			p.completeGang(s)
+		}
+		return
+	}
+	if lo.SomeBy(s.tasks, func(t *task) bool { return t.run != nil }) {
+		return // runs of an earlier attempt still hold room
+	}
+	expected := e.speeds.expected(s.occ.job.queue, s.spec)
+	plan, whole := p.fitGang(s, p.candidates(s, expected), len(s.tasks))
+	if !whole {
+		p.hold(s)
+		p.wantAdvice(s, nil, true)
+		return
+	}
+	missing := lo.Uniq(lo.Filter(plan, func(m *machineState, _ int) bool { return !s.advice.allows(m, p.now) }))
+	if len(missing) > 0 {
+		p.keep(s, lo.Uniq(plan))
+		p.wantAdvice(s, missing, false)
+		return
+	}
+	number := int64(1)
+	for _, t := range s.tasks {
+		number = max(number, t.lastRun+1)
+	}
+	if s.occ.job.restored {
+		number = max(number, e.cfg.Token)
+	}
+	s.gang = gangState{run: number, began: p.now}
+	saved := gangCheckpoint(s)
+	for i, t := range s.tasks {
+		t.checkpoint = saved
+		p.start(t, plan[i], number)
+	}
+}
+
+// gangCheckpoint returns one checkpoint for all members: that of the first that has one.
+func gangCheckpoint(s *step) string {
+	for _, t := range s.tasks {
+		if t.checkpoint != "" {
+			return t.checkpoint
+		}
+	}
+	return ""
+}
+
+// fitGang assigns n tasks to candidates. For a rack-local gang, a single rack is
+// tried first.
+func (p *pass) fitGang(s *step, cands []candidate, n int) ([]*machineState, bool) {
+	if s.spec.RackLocal {
+		racks := lo.GroupBy(cands, func(c candidate) string { return c.m.spec.Rack })
+		names := lo.Keys(racks)
+		slices.Sort(names)
+		for _, r := range names {
+			if plan, ok := fill(s, racks[r], n); ok {
+				return plan, true
+			}
+		}
+	}
+	return fill(s, cands, n)
+}
+
+// fill takes slots of the candidates in order, those with valid tickets first.
+func fill(s *step, cands []candidate, n int) ([]*machineState, bool) {
+	var plan []*machineState
+	for _, c := range cands {
+		for range c.left {
+			if len(plan) == n {
+				return plan, true
+			}
+			plan = append(plan, c.m)
+		}
+	}
+	return plan, len(plan) >= n
+}
+
+// completeGang places members that were refused or lost before the gang came
+// together, under the number of the attempt.
+func (p *pass) completeGang(s *step) {
+	e := p.e
+	if p.now-s.gang.began > time.Duration(gangReserve*float64(e.cfg.GangWait)) {
+		e.abortGang(s, "gang_incomplete", p.now, true)
+		return
+	}
+	cands := p.candidates(s, 0)
+	var missing []*machineState
+	for _, t := range s.tasks {
+		if t.done || t.run != nil {
+			continue
+		}
+		m := p.best(s, t, cands)
+		if m == nil {
+			return
+		}
+		if !s.advice.allows(m, p.now) {
+			missing = append(missing, m)
+			continue
+		}
+		p.start(t, m, s.gang.run)
+	}
+	p.wantAdvice(s, missing, false)
+}
+
+// abortGang ends the current attempt of a gang. With stop, the members are
+// stopped at once; otherwise they are expected to end by themselves.
+func (e *Engine) abortGang(s *step, why string, now time.Duration, stop bool) {
+	if s.gang.run == 0 || s.occ.job.state.final() {
+		return
+	}
+	if !s.gang.aborting {
+		s.gang.aborting, s.gang.since = true, now
+		s.notBefore = max(s.notBefore, now+gangPause)
+		e.log.Info().Str("event", "gang_aborted").Str("step", s.name).Int64("run", s.gang.run).Str("reason", why).
+			Int64("age_ms", (now - s.gang.began).Milliseconds()).Send()
+	}
+
+	left := 0
+	for _, t := range s.tasks {
+		if t.run == nil {
+			continue
+		}
+		left++
+		if stop {
+			e.stop(t.run, why, now)
+		}
+	}
+	if left == 0 {
+		s.gang.run, s.gang.aborting = 0, false
+	}
+}
+
+// hold keeps machines free for a gang that does not fit yet: those allowed ones
+// with the most free room that together could hold it.
+func (p *pass) hold(s *step) {
+	q := s.occ.job.queue
+	sp := p.service(q.Service)
+	limit := int(holdMachines * float64(len(sp.machines)))
+	if sp.holding >= limit {
+		return
+	}
+	type choice struct {
+		m     *machineState
+		slots int
+		share float64
+	}
+	var choices []choice
+	for _, m := range sp.machines {
+		if p.held[m] || !p.eligible(s, m) || (q.Advice != nil && !s.advice.good(m)) {
+			continue
+		}
+		n := wholeSlots(s, m)
+		if n > 0 {
+			free := 1.0
+			if m.spec.Capacity.CPUMilli > 0 {
+				free = float64(m.free().CPUMilli) / float64(m.spec.Capacity.CPUMilli)
+			}
+			choices = append(choices, choice{m, n, free})
+		}
+	}
+	slices.SortFunc(choices, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.m.spec.ID, b.m.spec.ID))
+	})
+	left := len(s.tasks)
+	var keep []*machineState
+	for _, c := range choices {
+		if left <= 0 {
+			break
+		}
+		left -= c.slots
+		keep = append(keep, c.m)
+	}
+	if left > 0 || sp.holding+len(keep) > limit {
+		return
+	}
+	p.keep(s, keep)
+}
+
+// keep holds machines back from the longer tasks of steps that come later.
+func (p *pass) keep(s *step, machines []*machineState) {
+	sp := p.service(s.occ.job.queue.Service)
+	for _, m := range machines {
+		if !p.held[m] {
+			p.held[m] = true
+			sp.holding++
+		}
+	}
+}
+
+// wholeSlots returns how many tasks of s fit on an empty m.
+func wholeSlots(s *step, m *machineState) int {
+	n := len(s.tasks)
+	need, room := s.spec.Need, m.spec.Capacity
+	if need.CPUMilli > 0 {
+		n = min(n, int(room.CPUMilli/need.CPUMilli))
+	}
+	if need.MemoryMiB > 0 {
+		n = min(n, int(room.MemoryMiB/need.MemoryMiB))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(room.Accelerators/need.Accelerators))
+	}
+	if s.spec.PerMachine > 0 {
+		n = min(n, s.spec.PerMachine)
+	}
+	return n
+}
--- /dev/null
+++ b/sched/job.go
@@ -0,0 +1,179 @@
+package sched
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// job is one job known to the engine. After its end only its state is kept.
+type job struct {
+	spec            Job
+	queue           *Queue
+	occurrences     []*occurrence
+	doneOccurrences int
+	state           JobState
+	begun           bool // a task has started at some time
+	stored          bool // the record of the job is stored
+	finalStored     bool
+	progressStored  bool
+	restored        bool // accepted under a former leader
+	arrived         time.Duration
+	objective       time.Duration // when callers want it completed
+	ended           time.Duration
+	onStored        []func()
+	onFinal         []func()
+}
+
+// occurrence is one run of the steps of a job.
+type occurrence struct {
+	job       *job
+	number    int
+	due       time.Duration // when its tasks may start
+	steps     []*step
+	doneSteps int
+}
+
+// step is a step of one occurrence.
+type step struct {
+	occ       *occurrence
+	index     int
+	spec      *Step
+	name      string
+	tasks     []*task
+	doneTasks int
+	advice    advice
+	gang      gangState
+	tail      time.Duration // expected run time of the steps that depend on this one, and of it
+	notBefore time.Duration // no new start before this time, after refusals
+}
+
+// task is one unit of work.
+type task struct {
+	step       *step
+	index      int
+	run        *run // the current run, nil if none holds room
+	lastRun    int64
+	done       bool
+	failures   int
+	counted    int64  // highest run whose failure was counted
+	moves      int    // runs that were stopped because they stood still or were slow
+	avoid      string // machine on which it failed or stood still last
+	checkpoint string
+}
+
+// gangState is the current attempt of a gang.
+type gangState struct {
+	run      int64 // shared by all members; 0 if none is active
+	began    time.Duration
+	aborting bool          // the members are being stopped
+	since    time.Duration // when aborting began
+}
+
+func newJob(spec Job, q *Queue) *job {
+	j := &job{spec: spec, queue: q, state: Queued}
+	for k := range j.spec.Occurrences() {
+		o := &occurrence{job: j, number: k}
+		for i := range j.spec.Steps {
+			s := &step{occ: o, index: i, spec: &j.spec.Steps[i], name: stepName(spec.ID, k, i)}
+			s.tasks = make([]*task, s.spec.Count)
+			block := make([]task, s.spec.Count)
+			for n := range block {
+				block[n] = task{step: s, index: n}
+				s.tasks[n] = &block[n]
+			}
+			o.steps = append(o.steps, s)
+		}
+		j.occurrences = append(j.occurrences, o)
+	}
+	return j
+}
+
+// deadlines sets arrival, due times and the objective of the job.
+func (j *job) deadlines(now time.Duration, wall time.Time, speeds *speedBook) {
+	age := time.Duration(wall.UnixMilli()-j.spec.Accepted) * time.Millisecond
+	j.arrived = now - max(age, 0)
+	var chain time.Duration
+	for _, o := range j.occurrences {
+		o.due = j.arrived
+		if j.spec.Repeat > 0 {
+			due := j.spec.FirstDue + int64(o.number)*j.spec.Interval.Milliseconds()
+			o.due = now + time.Duration(due-wall.UnixMilli())*time.Millisecond
+		}
+		for i := len(o.steps) - 1; i >= 0; i-- {
+			s := o.steps[i]
+			s.tail += speeds.expected(j.queue, s.spec)
+			for _, d := range s.spec.DependsOn {
+				o.steps[d].tail = max(o.steps[d].tail, s.tail)
+			}
+			chain = max(chain, s.tail)
+		}
+	}
+	j.objective = j.arrived + j.queue.Target + time.Duration(j.queue.Stretch*float64(chain))
+}
+
+// ready reports whether the tasks of s may start.
+func (s *step) ready(now time.Duration) bool {
+	if now < s.occ.due {
+		return false
+	}
+	for _, d := range s.spec.DependsOn {
+		if p := s.occ.steps[d]; p.doneTasks < len(p.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// waits reports whether a task of s is neither done nor placed.
+func (s *step) waits() bool {
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// objective returns when the callers want the occurrence of s completed.
+func (s *step) objective() time.Duration {
+	j := s.occ.job
+	if j.spec.Repeat == 0 {
+		return j.objective
+	}
+	return s.occ.due + (j.objective - j.arrived)
+}
+
+func stepName(id string, occurrence, index int) string {
+	return id + "." + strconv.Itoa(occurrence) + "." + strconv.Itoa(index)
+}
+
+func (t *task) name() string { return t.step.name + "." + strconv.Itoa(t.index) }
+
+// findTask returns the task of that name, or nil.
+func (e *Engine) findTask(name string) *task {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return nil
+	}
+	j := e.jobs[parts[0]]
+	if j == nil {
+		return nil
+	}
+	var at [3]int
+	for i := range at {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return nil
+		}
+		at[i] = n
+	}
+	if at[0] >= len(j.occurrences) || at[1] >= len(j.occurrences[at[0]].steps) {
+		return nil
+	}
+	s := j.occurrences[at[0]].steps[at[1]]
+	if at[2] >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[at[2]]
+}
--- /dev/null
+++ b/sched/machine.go
@@ -0,0 +1,536 @@
+package sched
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/machine"
+)
+
+// machineState is the engine's view of one incarnation of a machine.
+type machineState struct {
+	spec      Machine
+	token     int64
+	used      machine.Resources // held by runs
+	runs      map[runKey]*run
+	clock     leaseClock
+	listed    bool          // the machine's entry is in the host list
+	looked    bool          // it has answered with its lists under token
+	lookedAt  time.Duration // last answer
+	processed int64         // highest number of an end that was taken into account
+	ackable   int64         // highest number whose record is stored
+	stored    bool          // the record of the machine is stored
+	health    health
+	recorded  bool    // its record was handed to the journal
+	pace      float64 // learned run time relative to other machines, 0 if not known
+	replaced  bool    // another incarnation answers at its address
+	foreign   bool    // runs of a former leader may still be on it
+	perStep   map[*step]int
+}
+
+type runKey struct {
+	task string
+	run  int64
+}
+
+// runState is what is known about a run.
+type runState uint8
+
+const (
+	runOrdered  runState = iota // the start was sent and not yet answered
+	runListed                   // the machine has confirmed it
+	runDoubtful                 // the start was not answered; it may start later
+	runStopping                 // a stop is wanted
+)
+
+// run is one start of a task. It holds room on its machine until it is closed.
+type run struct {
+	task       *task
+	machine    *machineState
+	number     int64
+	token      int64 // of the order, 0 if another leader gave it
+	state      runState
+	ordered    time.Duration
+	started    time.Duration // when it was confirmed, 0 if it was not
+	stopSent   time.Duration // last stop order, 0 if none is under way
+	stopAnswer time.Duration // when a stop was answered, 0 if none was
+	reason     string        // of the stop
+	percent    int
+	seenAt     time.Duration // when percent was reported
+	movedAt    time.Duration // when percent last rose
+	checkpoint string
+}
+
+func (m *machineState) reserve(r *run) {
+	m.used = m.used.Add(r.holds())
+	m.runs[runKey{r.task.name(), r.number}] = r
+	m.perStep[r.task.step]++
+}
+
+func (m *machineState) release(r *run) {
+	m.used = m.used.Sub(r.holds())
+	delete(m.runs, runKey{r.task.name(), r.number})
+	if m.perStep[r.task.step]--; m.perStep[r.task.step] == 0 {
+		delete(m.perStep, r.task.step)
+	}
+}
+
+// holds returns the room that the run takes. Processors of a filler step are
+// those that others leave idle.
+func (r *run) holds() machine.Resources {
+	need := r.task.step.spec.Need
+	if r.task.step.spec.Filler {
+		need.CPUMilli = 0
+	}
+	return need
+}
+
+// SetMachines takes over the host list. Machines that are not in it take no new
+// work; their runs count until their leases have surely lapsed.
+func (e *Engine) SetMachines(list []Machine, now time.Duration) {
+	seen := make(map[string]bool, len(list))
+	for _, spec := range list {
+		seen[spec.ID] = true
+		e.setMachine(spec, now)
+	}
+	for id, m := range e.machines {
+		if m.listed && !seen[id] {
+			m.listed = false
+			e.log.Info().Str("event", "machine_unlisted").Str("machine", id).Int("runs", len(m.runs)).Send()
+		}
+	}
+
+}
+
+func (e *Engine) setMachine(spec Machine, now time.Duration) {
+	m := e.machines[spec.ID]
+	if m == nil {
+		m = e.addMachine(spec, now)
+		e.log.Info().Str("event", "machine_listed").Str("machine", spec.ID).Str("service", spec.Service).
+			Str("rack", spec.Rack).Str("room", spec.Capacity.String()).Bool("draining", spec.Draining).Send()
+	}
+	if spec.Born > m.spec.Born && m.spec.Born != 0 {
+		e.rebirth(m, spec.Born, now)
+	}
+	if spec.Born < m.spec.Born {
+		return // an entry of a former incarnation
+	}
+	if spec.Draining != m.spec.Draining {
+		e.log.Info().Str("event", "machine_draining").Str("machine", spec.ID).Bool("draining", spec.Draining).Send()
+	}
+	m.spec, m.listed = spec, !m.replaced
+}
+
+func (e *Engine) addMachine(spec Machine, now time.Duration) *machineState {
+	m := &machineState{
+		spec: spec, token: e.cfg.Token, runs: make(map[runKey]*run), perStep: make(map[*step]int), lookedAt: now,
+	}
+	m.clock.maxLease = e.cfg.Lease
+	e.machines[spec.ID] = m
+	e.journal.machines = append(e.journal.machines, m)
+	m.recorded = true
+	return m
+}
+
+// rebirth handles a new incarnation under the same id: nothing of before runs. A
+// start that was not answered may still arrive there; its run stays until the
+// machine has seen the higher token, which refuses it.
+func (e *Engine) rebirth(m *machineState, born int64, now time.Duration) {
+	e.log.Warn().Str("event", "machine_restarted").Str("machine", m.spec.ID).Int64("born", born).
+		Int("runs_lost", len(m.runs)).Send()
+	m.token++
+	m.spec.Born = born
+	m.looked, m.processed, m.ackable = false, 0, 0
+	m.clock = leaseClock{maxLease: e.cfg.Lease}
+	for _, r := range m.sortedRuns() {
+		if r.started != 0 {
+			e.closeRun(r, now, "machine_restarted")
+		}
+	}
+	m.health.crashed(now)
+}
+
+// sortedRuns returns the runs of m in a fixed order.
+func (m *machineState) sortedRuns() []*run {
+	out := make([]*run, 0, len(m.runs))
+	for _, r := range m.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int { return strings.Compare(a.task.name(), b.task.name()) })
+	return out
+}
+
+// Look is what a machine answered to a look at its lists.
+type Look struct {
+	Born    int64
+	Clock   int64 // the machine's steady clock in ms
+	Sent    time.Duration
+	Running []RunReport
+	Ended   []EndReport
+}
+
+// Observe takes a machine's lists into account.
+func (e *Engine) Observe(id string, token int64, l Look, now time.Duration) {
+	m := e.machines[id]
+	if m == nil || token != m.token {
+		return
+	}
+	if m.spec.Born != 0 && l.Born > m.spec.Born {
+		e.rebirth(m, l.Born, now)
+		return
+	}
+	if l.Born != 0 && l.Born < m.spec.Born {
+		return
+	}
+	if m.spec.Born == 0 {
+		m.spec.Born = l.Born
+	}
+	if !m.looked {
+		m.looked = true
+
+		e.log.Info().Str("event", "machine_in_touch").Str("machine", id).Int64("token", token).
+			Int("running", len(l.Running)).Int("ended", len(l.Ended)).Send()
+	}
+	m.foreign = false
+	m.lookedAt = now
+	m.clock.observe(l.Clock, now)
+	for _, end := range l.Ended {
+		if end.Number > m.processed {
+			e.ended(m, end, now)
+			m.processed = end.Number
+		}
+	}
+	present := make(map[runKey]bool, len(l.Running))
+	for _, rep := range l.Running {
+		present[runKey{rep.Task, rep.Run}] = true
+		e.listed(m, rep, now)
+	}
+	for _, r := range m.sortedRuns() {
+		if present[runKey{r.task.name(), r.number}] {
+			continue
+		}
+		switch {
+		case r.token < m.token:
+			e.closeRun(r, now, "superseded")
+		case r.stopAnswer != 0 && l.Sent > r.stopAnswer:
+			e.closeRun(r, now, "stopped_before_start")
+		case r.started != 0 && l.Sent > r.started:
+			e.closeRun(r, now, "vanished")
+		}
+	}
+}
+
+// listed takes one running entry into account.
+func (e *Engine) listed(m *machineState, rep RunReport, now time.Duration) {
+	r := m.runs[runKey{rep.Task, rep.Run}]
+	if r == nil {
+		r = e.adopt(m, rep, now)
+		if r == nil {
+			return
+		}
+	}
+	if r.state == runOrdered || r.state == runDoubtful {
+		e.confirm(r, now)
+	}
+	if rep.Percent > r.percent || r.seenAt == 0 {
+		r.movedAt = now
+	}
+	r.percent, r.seenAt = rep.Percent, now
+	if rep.Checkpoint != "" {
+		r.checkpoint, r.task.checkpoint = rep.Checkpoint, rep.Checkpoint
+	}
+}
+
+// confirm marks a run as running.
+func (e *Engine) confirm(r *run, now time.Duration) {
+	r.started = now
+	if r.state != runStopping {
+		r.state = runListed
+	}
+	r.seenAt, r.movedAt = now, now
+	j := r.task.step.occ.job
+	j.begun = true
+	if j.state == Queued {
+		j.state = Running
+	}
+}
+
+// adopt takes over a run that this leader did not order. It returns nil for a
+// run that is unwanted, which is then stopped.
+func (e *Engine) adopt(m *machineState, rep RunReport, now time.Duration) *run {
+	t := e.findTask(rep.Task)
+	wanted := t != nil && !t.done && t.run == nil && !t.step.occ.job.state.final()
+	if wanted && t.step.spec.Gang && t.step.gang.run != 0 && t.step.gang.run != rep.Run {
+		wanted = false
+	}
+	if !wanted {
+		e.orders.Stops = append(e.orders.Stops, Stop{m.spec, m.token, rep.Task, rep.Run})
+		e.log.Warn().Str("event", "unknown_run_stopped").Str("machine", m.spec.ID).Str("task", rep.Task).
+			Int64("run", rep.Run).Bool("task_known", t != nil).Send()
+		return nil
+	}
+	r := &run{task: t, machine: m, number: rep.Run, token: m.token, ordered: now}
+	t.run, t.lastRun = r, max(t.lastRun, rep.Run)
+	if t.step.spec.Gang && t.step.gang.run == 0 {
+		t.step.gang.run, t.step.gang.began = rep.Run, now
+	}
+	m.reserve(r)
+
+	e.log.Info().Str("event", "run_adopted").Str("machine", m.spec.ID).Str("task", rep.Task).Int64("run", rep.Run).Send()
+	return r
+}
+
+// ended takes one ended entry into account.
+func (e *Engine) ended(m *machineState, end EndReport, now time.Duration) {
+	e.stats.Ends[end.Kind]++
+	r := m.runs[runKey{end.Task, end.Run}]
+	t := e.findTask(end.Task)
+	if r != nil {
+		t = r.task
+	}
+	if t == nil {
+		return
+	}
+	if end.Checkpoint != "" && (r != nil || t.checkpoint == "") {
+		t.checkpoint = end.Checkpoint
+	}
+	e.log.Info().Str("event", "run_ended").Str("machine", m.spec.ID).Str("task", end.Task).Int64("run", end.Run).
+		Str("how", string(end.Kind)).Int64("number", end.Number).Bool("known", r != nil).Send()
+	if r != nil {
+		if end.Kind == EndDone && r.started != 0 {
+			e.speeds.learn(t.step, m, now-r.started)
+		}
+		e.dropRun(r)
+	}
+	t.lastRun = max(t.lastRun, end.Run)
+	e.settleEnd(m, t, end, now)
+}
+
+// settleEnd moves the task on after an end.
+func (e *Engine) settleEnd(m *machineState, t *task, end EndReport, now time.Duration) {
+	j := t.step.occ.job
+
+	j.begun = true
+	if j.state.final() {
+		return
+	}
+	if j.state == Queued {
+		j.state = Running
+	}
+	switch {
+	case end.Kind == EndDone && t.step.spec.Persistent:
+		// a persistent task is placed again, however it ended
+	case end.Kind == EndDone:
+		m.health.succeeded()
+		if t.step.spec.Gang {
+			for _, member := range t.step.tasks {
+				e.taskDone(member, now)
+			}
+			return
+		}
+		e.taskDone(t, now)
+	case end.Kind == EndFailed:
+		e.taskFailed(m, t, end.Run, now)
+	}
+	if t.step.spec.Gang && !t.done && end.Run == t.step.gang.run {
+		e.abortGang(t.step, "member_"+string(end.Kind), now, false)
+	}
+}
+
+// taskFailed counts a failed attempt and fails the job after too many. The
+// attempts of a gang are counted at its first task.
+func (e *Engine) taskFailed(m *machineState, t *task, run int64, now time.Duration) {
+	j := t.step.occ.job
+	m.health.failed(now, j.spec.ID)
+	first := t.avoid
+	t.avoid = m.spec.ID
+	if t.step.spec.Persistent {
+		return
+	}
+	if t.failures > 0 && first != "" && first != m.spec.ID {
+		// The task fails wherever it runs: the machines are not at fault.
+		if f := e.machines[first]; f != nil {
+			f.health.forgive(j.spec.ID)
+		}
+		m.health.forgive(j.spec.ID)
+	}
+	counter := t
+	if t.step.spec.Gang {
+		counter = t.step.tasks[0]
+	}
+	if run <= counter.counted {
+		return
+	}
+	counter.counted = run
+	counter.failures++
+	e.journal.dirty[j] = true
+	if counter.failures >= j.queue.MaxAttempts {
+		e.finish(j, Failed, "task "+t.name()+" has used its attempts", now)
+	}
+}
+
+// closeRun ends a run that the machine will not report.
+func (e *Engine) closeRun(r *run, now time.Duration, why string) {
+	e.log.Info().Str("event", "run_closed").Str("machine", r.machine.spec.ID).Str("task", r.task.name()).
+		Int64("run", r.number).Str("reason", why).Int64("age_ms", (now - r.ordered).Milliseconds()).Send()
+	began := r.started != 0
+	e.dropRun(r)
+
+	s := r.task.step
+	if s.spec.Gang && !r.task.done && began {
+		e.abortGang(s, why, now, true)
+	}
+}
+
+// dropRun frees the room of a run.
+func (e *Engine) dropRun(r *run) {
+	r.machine.release(r)
+	if r.task.run == r {
+		r.task.run = nil
+	}
+	if r.reason == "stuck" || r.reason == "slow" {
+		r.task.avoid = r.machine.spec.ID
+	}
+	s := r.task.step
+	if s.spec.Gang && s.gang.run != 0 {
+		for _, t := range s.tasks {
+			if t.run != nil {
+				return
+			}
+		}
+		if s.gang.aborting {
+			s.gang.run, s.gang.aborting = 0, false
+		}
+	}
+}
+
+// leaseClock relates a machine's steady clock to the engine's clock.
+type leaseClock struct {
+	maxLease time.Duration
+	known    bool
+	reading  int64         // ms on the machine's clock
+	at       time.Duration // when the reading arrived; the machine's clock was at least there
+	sent     int64         // latest lease end that was sent, ms on the machine's clock
+}
+
+func (c *leaseClock) observe(reading int64, now time.Duration) {
+	if !c.known {
+		// A former leader may have granted a full lease just before.
+		c.sent = max(c.sent, reading+c.maxLease.Milliseconds())
+	}
+	if !c.known || reading >= c.reading {
+		c.known, c.reading, c.at = true, reading, now
+	}
+}
+
+// lease returns the end of a full lease on the machine's clock, and remembers
+// that it may have been granted.
+func (c *leaseClock) lease(now time.Duration) int64 {
+	if !c.known {
+		return 0
+	}
+	end := c.reading + (now - c.at + c.maxLease).Milliseconds()
+	c.sent = max(c.sent, end)
+	return end
+}
+
+// lapsed reports whether every lease that was sent has surely ended, also on a
+// clock that is slow by clockDrift.
+func (c *leaseClock) lapsed(now time.Duration) bool {
+	if !c.known {
+		return false
+	}
+	least := c.reading + int64(float64((now-c.at).Milliseconds())*(1-clockDrift))
+	return least > c.sent+settleSlack.Milliseconds()
+}
+
+// LeaseFor returns what a look at a machine carries: the end of the lease on the
+// machine's clock (0 if the clock is not known yet), the number up to which ends
+// are stored, and whether ends wait for being stored.
+func (e *Engine) LeaseFor(id string, now time.Duration) (end, ackable int64, waiting bool) {
+	m := e.machines[id]
+	if m == nil {
+		return 0, 0, false
+	}
+	return m.clock.lease(now), m.ackable, m.processed > m.ackable
+}
+
+// Acknowledged reports the number up to which ends of a machine are stored.
+func (e *Engine) Acknowledged(id string) (ackable, processed int64) {
+	if m := e.machines[id]; m != nil {
+		return m.ackable, m.processed
+	}
+	return 0, 0
+}
+
+// expire closes the runs of machines whose leases have lapsed, and forgets
+// machines that are gone.
+func (e *Engine) expire(now time.Duration) {
+	for id, m := range e.machines {
+		if len(m.runs) > 0 && m.looked && m.clock.lapsed(now) {
+			e.log.Warn().Str("event", "machine_lapsed").Str("machine", id).Int("runs", len(m.runs)).
+				Int64("silent_ms", (now - m.lookedAt).Milliseconds()).Send()
+			for _, r := range m.sortedRuns() {
+				e.closeRun(r, now, "lease_lapsed")
+			}
+			m.health.crashed(now)
+		}
+		gone := !m.listed && len(m.runs) == 0 && now-m.lookedAt > e.horizon()
+		if gone && !m.foreign {
+			delete(e.machines, id)
+			e.journal.drops = append(e.journal.drops, machineKey(id))
+			e.log.Info().Str("event", "machine_forgotten").Str("machine", id).Send()
+		}
+	}
+	if !e.settled {
+		e.settle(now)
+	}
+}
+
+// horizon is the time after which a lease granted before has surely ended.
+func (e *Engine) horizon() time.Duration {
+	return time.Duration(float64(e.cfg.Lease)*(1+clockDrift)) + settleSlack
+}
+
+// settle checks whether runs of former leaders can still be unknown.
+func (e *Engine) settle(now time.Duration) {
+	if now-e.started <= e.horizon() {
+		for _, m := range e.machines {
+			if m.foreign {
+				return
+			}
+		}
+	}
+	e.settled = true
+	for _, m := range e.machines {
+		m.foreign = false
+	}
+	e.log.Info().Str("event", "runs_settled").Int64("after_ms", (now - e.started).Milliseconds()).Send()
+}
+
+// Settled reports whether every run of former leaders is known or has ended.
+func (e *Engine) Settled() bool { return e.settled }
+
+// Machine returns the current incarnation of a machine and the token for calls to it.
+func (e *Engine) Machine(id string) (MachineView, bool) {
+	m := e.machines[id]
+	if m == nil {
+		return MachineView{}, false
+	}
+	return MachineView{m.spec, m.token}, true
+}
+
+// Replaced takes into account that another incarnation answers at the address of
+// a machine: the one that was known there is gone with all that ran on it.
+func (e *Engine) Replaced(id string, now time.Duration) {
+	m := e.machines[id]
+	if m == nil || m.replaced {
+		return
+	}
+	m.replaced, m.listed, m.foreign = true, false, false
+	e.log.Warn().Str("event", "machine_replaced").Str("machine", id).Str("address", m.spec.Address).Int("runs_lost", len(m.runs)).Send()
+	for _, r := range m.sortedRuns() {
+		e.closeRun(r, now, "machine_replaced")
+	}
+}
--- /dev/null
+++ b/sched/plan.go
@@ -0,0 +1,294 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// ticketMargin is the least life of a ticket at the start of a task: the way to
+	// the machine across regions and the queue in front of it.
+	ticketMargin = 120 * time.Millisecond
+	// lateFactor times the objective of a job is when its completion is worth
+	// nothing to its caller any more.
+	lateFactor = 3
+	// holdMachines is the share of the machines of a service that may be kept free
+	// for gangs that do not fit yet.
+	holdMachines = 0.5
+	// shortTask is the run time up to which a task may use a machine that is kept
+	// free for a gang.
+	shortTask = time.Second
+	// refusedPause is how long a step waits after a machine has refused a start.
+	refusedPause = 50 * time.Millisecond
+	// packWeight is the cost in score of an idle machine against a full one. It
+	// keeps whole machines free for large tasks.
+	packWeight = 0.05
+)
+
+// urgency orders steps: on time before late, late before worthless, and within
+// these by priority and objective.
+type urgency struct {
+	tier      int
+	priority  int
+	objective time.Duration
+}
+
+func (e *Engine) urgencyOf(s *step, now time.Duration) urgency {
+	j := s.occ.job
+	u := urgency{priority: min(j.queue.Priority, 1), objective: s.objective()}
+	finish := now + s.tail
+	switch {
+	case s.spec.Persistent || finish <= u.objective:
+	case finish <= j.arrived+lateFactor*(u.objective-j.arrived):
+		u.tier = 1
+	default:
+		u.tier = 2
+	}
+	return u
+}
+
+func (u urgency) compare(o urgency) int {
+	return cmp.Or(cmp.Compare(u.tier, o.tier), cmp.Compare(u.priority, o.priority), cmp.Compare(u.objective, o.objective))
+}
+
+// Plan makes one pass over all waiting steps and returns the orders to send.
+func (e *Engine) Plan(now time.Duration) Orders {
+	e.expire(now)
+	e.compact(now)
+	e.watchRuns(now)
+	e.refreshWaiting(now)
+	p := &pass{e: e, now: now, held: make(map[*machineState]bool), services: make(map[string]*servicePass)}
+	for _, s := range e.waiting {
+		if s.occ.job.state.final() || now < s.notBefore {
+			continue
+		}
+		p.place(s)
+	}
+	out := e.orders
+	e.orders = Orders{}
+	e.stats.Starts += int64(len(out.Starts))
+	e.stats.Stops += int64(len(out.Stops))
+	return out
+}
+
+// refreshWaiting builds the ordered list of steps that have tasks to place.
+func (e *Engine) refreshWaiting(now time.Duration) {
+	e.waiting = e.waiting[:0]
+	for _, j := range e.live {
+		if !j.stored || j.state.final() || (j.restored && !e.settled) {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if now < o.due || o.doneSteps == len(o.steps) {
+				continue
+			}
+			for _, s := range o.steps {
+				if s.doneTasks < len(s.tasks) && s.ready(now) && s.waits() {
+					e.waiting = append(e.waiting, s)
+				}
+			}
+		}
+	}
+	keys := make(map[*step]urgency, len(e.waiting))
+	for _, s := range e.waiting {
+		keys[s] = e.urgencyOf(s, now)
+	}
+	slices.SortStableFunc(e.waiting, func(a, b *step) int { return keys[a].compare(keys[b]) })
+}
+
+// pass is the state of one Plan.
+type pass struct {
+	e        *Engine
+	now      time.Duration
+	held     map[*machineState]bool // kept free for a gang that comes first
+	services map[string]*servicePass
+}
+
+// servicePass holds what the steps of one service share within a pass.
+type servicePass struct {
+	machines []*machineState
+	holding  int // machines kept free
+}
+
+// service returns the machines that may take work of a service, in a fixed order.
+func (p *pass) service(name string) *servicePass {
+	sp := p.services[name]
+	if sp != nil {
+		return sp
+	}
+	sp = &servicePass{}
+	var suspects []*machineState
+	for _, m := range p.e.machines {
+		if m.spec.Service != name || !m.listed || m.spec.Draining || !m.looked || !m.stored {
+			continue
+		}
+		if p.now-m.lookedAt > silentAfter {
+			continue
+		}
+		if m.health.suspect(p.now) {
+			suspects = append(suspects, m)
+			continue
+		}
+		sp.machines = append(sp.machines, m)
+	}
+	// Suspects are used when most machines are suspect: then the work is at fault.
+	if len(suspects) > len(sp.machines) {
+		sp.machines = append(sp.machines, suspects...)
+	}
+	slices.SortFunc(sp.machines, func(a, b *machineState) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
+	p.services[name] = sp
+	return sp
+}
+
+// silentAfter is the time without an answer after which a machine takes no new
+// work. A look waits up to 2 s for an end.
+const silentAfter = 3 * time.Second
+
+// eligible reports whether m may run tasks of s at all, regardless of room.
+func (p *pass) eligible(s *step, m *machineState) bool {
+	if s.spec.Label != "" && !slices.Contains(m.spec.Labels, s.spec.Label) {
+		return false
+	}
+	return s.spec.Need.Fits(m.spec.Capacity)
+}
+
+// slots returns how many further tasks of s fit on m now.
+func (p *pass) slots(s *step, m *machineState) int {
+	need, free := s.spec.Need, m.free()
+	n := len(s.tasks)
+	fit := func(need, free int64) {
+		if need > 0 {
+			n = min(n, int(max(free, 0)/need))
+		}
+	}
+	if !s.spec.Filler {
+		fit(need.CPUMilli, free.CPUMilli)
+	}
+	fit(need.MemoryMiB, free.MemoryMiB)
+	fit(need.Accelerators, free.Accelerators)
+	if s.spec.PerMachine > 0 {
+		n = min(n, s.spec.PerMachine-m.perStep[s])
+	}
+	return max(n, 0)
+}
+
+// place starts what can be started of s now.
+func (p *pass) place(s *step) {
+	if s.spec.Gang {
+		p.placeGang(s)
+		return
+	}
+	expected := p.e.speeds.expected(s.occ.job.queue, s.spec)
+	cands := p.candidates(s, expected)
+	var missing []*machineState
+	blocked := false
+	for _, t := range s.tasks {
+		if t.done || t.run != nil {
+			continue
+		}
+		m := p.best(s, t, cands)
+		if m == nil {
+			blocked = true
+			break
+		}
+		if !s.advice.allows(m, p.now) {
+			missing = append(missing, m)
+			continue
+		}
+		p.start(t, m, t.lastRun+1)
+	}
+	p.wantAdvice(s, missing, blocked)
+}
+
+// candidate is a machine that may take tasks of a step, with its score.
+type candidate struct {
+	m     *machineState
+	score float64 // lower is better
+	left  int     // tasks that it can take in this pass
+}
+
+// candidates filters and scores the machines for s. Machines whose ticket is
+// missing or too old are included if the advisor has allowed them before.
+func (p *pass) candidates(s *step, expected time.Duration) []candidate {
+	q := s.occ.job.queue
+	var out []candidate
+	for _, m := range p.service(q.Service).machines {
+		if !p.eligible(s, m) || (q.Advice != nil && !s.advice.good(m)) {
+			continue
+		}
+		if p.held[m] && expected > shortTask {
+			continue
+		}
+		n := p.slots(s, m)
+		if n == 0 {
+			continue
+		}
+		out = append(out, candidate{m, p.score(s, m), n})
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.m.spec.ID, b.m.spec.ID))
+	})
+	return out
+}
+
+// score is the expected run time on m relative to a normal machine near the data.
+func (p *pass) score(s *step, m *machineState) float64 {
+	v := m.pace
+	if v == 0 {
+		v = 1
+	}
+	if s.spec.DataRack != "" && s.spec.DataRack != m.spec.Rack {
+		v *= p.e.cfg.SpreadFactor
+	}
+	v += float64(len(m.health.fails)) * 0.5
+	if c := m.spec.Capacity.CPUMilli; c > 0 {
+		v += packWeight * float64(m.free().CPUMilli) / float64(c)
+	}
+	if s.occ.job.queue.Advice != nil && !s.advice.allows(m, p.now) {
+		v += 0.25 // another question is needed first
+	}
+	return v
+}
+
+// best returns the first candidate with room that t may use, and takes one slot.
+func (p *pass) best(s *step, t *task, cands []candidate) *machineState {
+	for _, strict := range []bool{true, false} {
+		for i := range cands {
+			c := &cands[i]
+			if c.left == 0 || (strict && c.m.spec.ID == t.avoid) {
+				continue
+			}
+			c.left--
+			return c.m
+		}
+		if t.avoid == "" {
+			break
+		}
+	}
+	return nil
+}
+
+// start reserves room and hands out the order.
+func (p *pass) start(t *task, m *machineState, number int64) {
+	e, j := p.e, t.step.occ.job
+	number = max(number, 1)
+	if j.restored && t.lastRun == 0 {
+		number = max(number, e.cfg.Token)
+	}
+	r := &run{task: t, machine: m, number: number, token: m.token, ordered: p.now}
+	t.run, t.lastRun = r, number
+	m.reserve(r)
+	ticket, age := t.step.advice.ticket(m, p.now)
+	e.orders.Starts = append(e.orders.Starts, Start{
+		Machine: m.spec, Token: m.token, Task: t.name(), Run: number, Payload: j.spec.Payload,
+		Checkpoint: t.checkpoint, Ticket: ticket,
+	})
+	ev := e.log.Info().Str("event", "task_placed").Str("task", t.name()).Int64("run", number).
+		Str("machine", m.spec.ID).Int64("token", m.token).Str("free", m.free().String()).
+		Int64("machine_view_ms", (p.now-m.lookedAt).Milliseconds()).Int64("waited_ms", (p.now - j.arrived).Milliseconds())
+	if ticket != "" {
+		ev.Int64("ticket_age_ms", age.Milliseconds())
+	}
+	ev.Send()
+}
--- /dev/null
+++ b/sched/runs.go
@@ -0,0 +1,185 @@
+package sched
+
+import (
+	"time"
+)
+
+const (
+	// stopRetry is the wait before an unanswered or unfinished stop is sent again.
+	stopRetry = 400 * time.Millisecond
+	// stallAfter is how long a run may make no progress before it counts as stuck.
+	// Looks at a machine are at most 2 s apart.
+	stallAfter = 1800 * time.Millisecond
+	// slowFactor is how much longer the rest of a run must take than a new run
+	// elsewhere before it is moved.
+	slowFactor = 1.6
+	// slowSlack is added to the time of a new run: the way through the queue.
+	slowSlack = 700 * time.Millisecond
+	// minProgress is the age from which the progress of a run says how long it takes.
+	minProgress = 600 * time.Millisecond
+	// maxMoves is how often one task is moved off a slow machine.
+	maxMoves = 2
+)
+
+// StartAnswered takes the answer to a start order into account.
+func (e *Engine) StartAnswered(o Start, outcome StartOutcome, now time.Duration) {
+	m := e.machines[o.Machine.ID]
+	if m == nil {
+		return
+	}
+	r := m.runs[runKey{o.Task, o.Run}]
+	if r == nil || r.token != o.Token {
+		return
+	}
+	if outcome != Started {
+		e.stats.Refusals[string(outcome)]++
+		e.log.Warn().Str("event", "start_not_confirmed").Str("task", o.Task).Int64("run", o.Run).
+			Str("machine", o.Machine.ID).Str("outcome", string(outcome)).Int64("took_ms", (now - r.ordered).Milliseconds()).Send()
+	}
+	switch outcome {
+	case Started:
+		e.confirm(r, now)
+	case Unanswered:
+		if r.state == runOrdered {
+			r.state = runDoubtful
+			e.stop(r, "start_unanswered", now)
+		}
+	default:
+		if r.started != 0 {
+			return // the machine has listed it meanwhile
+		}
+		e.refused(m, r, outcome, now)
+	}
+}
+
+// refused frees a run that does not exist.
+func (e *Engine) refused(m *machineState, r *run, outcome StartOutcome, now time.Duration) {
+	t, s := r.task, r.task.step
+	e.dropRun(r)
+
+	switch outcome {
+	case RefusedTicket:
+		delete(s.advice.tickets, m.spec.ID)
+		delete(s.advice.asked, m.askKey())
+	case RefusedSick, RefusedOther, RefusedRoom:
+		m.health.failed(now, s.occ.job.spec.ID)
+		t.avoid = m.spec.ID
+	}
+	if !s.spec.Gang {
+		s.notBefore = now + refusedPause
+	}
+	if outcome == RefusedOld && s.spec.Gang {
+		e.abortGang(s, "number_too_low", now, true)
+	}
+}
+
+// stop asks for the end of a run, or makes sure that it never starts.
+func (e *Engine) stop(r *run, why string, now time.Duration) {
+	if r.state == runStopping && now-r.stopSent < stopRetry {
+		return
+	}
+	if r.reason == "" {
+		r.reason = why
+		e.log.Info().Str("event", "run_stopping").Str("machine", r.machine.spec.ID).Str("task", r.task.name()).
+			Int64("run", r.number).Str("reason", why).Bool("confirmed", r.started != 0).Int("percent", r.percent).Send()
+	}
+	r.state, r.stopSent = runStopping, now
+	e.orders.Stops = append(e.orders.Stops, Stop{r.machine.spec, r.machine.token, r.task.name(), r.number})
+}
+
+// StopAnswered takes the answer to a stop order into account.
+func (e *Engine) StopAnswered(o Stop, ok bool, now time.Duration) {
+	m := e.machines[o.Machine.ID]
+	if m == nil {
+		return
+	}
+	r := m.runs[runKey{o.Task, o.Run}]
+	if r == nil || r.state != runStopping {
+		return
+	}
+	if ok && r.stopAnswer == 0 {
+		r.stopAnswer = now
+	}
+}
+
+// NeedsLook reports whether the machine should be asked for its lists at once:
+// a stop was answered and its effect is not known yet.
+func (e *Engine) NeedsLook(id string) bool {
+	m := e.machines[id]
+	if m == nil {
+		return false
+	}
+	for _, r := range m.runs {
+		if r.state == runStopping && r.stopAnswer != 0 && r.started == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// watchRuns repeats stops and moves runs off machines that make no progress.
+func (e *Engine) watchRuns(now time.Duration) {
+	if now-e.watched < watchEvery {
+		return
+	}
+	e.watched = now
+	for _, m := range e.machines {
+		for _, r := range m.sortedRuns() {
+			s := r.task.step
+			switch {
+			case r.state == runStopping && r.stopAnswer == 0 && now-r.stopSent > stopRetry:
+				e.stop(r, r.reason, now)
+			case r.state == runStopping && now-r.stopSent > e.cfg.StopLimit+2*stopRetry:
+				e.stop(r, r.reason, now)
+			case r.state == runListed:
+				if why := e.lagging(r, now); why != "" {
+					e.move(r, why, now)
+				}
+			}
+			if s.spec.Gang && s.gang.aborting && now-s.gang.since > abortPatience {
+				e.abortGang(s, "gang_aborted", now, true)
+			}
+		}
+	}
+}
+
+// watchEvery is the interval of checks on running tasks.
+const watchEvery = 100 * time.Millisecond
+
+// lagging returns why a run should be moved, or an empty text.
+func (e *Engine) lagging(r *run, now time.Duration) string {
+	s := r.task.step
+	if s.spec.Persistent || r.task.moves >= maxMoves || r.seenAt == 0 {
+		return ""
+	}
+	gangTogether := !s.spec.Gang || r.percent > 0
+	if gangTogether && r.percent < 100 && r.seenAt-r.movedAt > stallAfter {
+		return "stuck"
+	}
+	age := r.seenAt - r.started
+	if age < minProgress || r.percent <= 0 || r.percent >= 100 || s.spec.Gang {
+		return ""
+	}
+	total := age * 100 / time.Duration(r.percent)
+	rest := total - age - (now - r.seenAt)
+	again := e.speeds.expected(s.occ.job.queue, s.spec)
+	if s.spec.SavesProgress && r.checkpoint != "" {
+		again = again * time.Duration(100-r.percent) / 100
+	}
+	if rest > time.Duration(slowFactor*float64(again))+slowSlack && total > 2*again {
+		return "slow"
+	}
+	return ""
+}
+
+// move stops a run so that its task is placed elsewhere.
+func (e *Engine) move(r *run, why string, now time.Duration) {
+	r.task.moves++
+	if why == "stuck" {
+		r.machine.health.stoodStill(now)
+	}
+	e.stop(r, why, now)
+	if r.task.step.spec.Gang {
+		e.abortGang(r.task.step, "member_"+why, now, true)
+	}
+}
