Make claims and heartbeats conditional on the end of the stream

Ruled out: distinct epochs per claimant, since a refused claim could fence the winner; the engine, whose two instances each kept its own books right. Conclusion: the stream's end decides; producers and epochs only fence the job state.

--- a/cell/lead.go
+++ b/cell/lead.go
@@ -110,7 +110,7 @@
 func (l *lead) takeOver(ctx context.Context) ([]sched.Record, bool) {
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, logTimeout)
-		err := l.d.route.Append(limited, StreamState, nil, Fence{Epoch: l.term, Sequence: 0, At: -1})
+		err := l.d.route.Append(limited, StreamState, nil, Fence{Epoch: l.term, Sequence: 0})
 		cancel()
 		if err == nil {
 			break
@@ -370,7 +370,7 @@
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		sent := l.clock()
 		limited, cancel := context.WithTimeout(ctx, logTimeout)
-		err := l.d.route.Append(limited, StreamState, entries, Fence{Epoch: l.term, Sequence: sequence, At: -1})
+		err := l.d.route.Append(limited, StreamState, entries, Fence{Epoch: l.term, Sequence: sequence})
 		cancel()
 		l.d.set.Metrics.Store.Observe((l.clock() - sent).Seconds())
 		if err == nil {
--- a/cell/ports.go
+++ b/cell/ports.go
@@ -30,12 +30,13 @@
 	Value  []byte
 }
 
-// Fence is the condition of an append. An append of a writer with a lower epoch
-// than one that was seen fails with kind stale_epoch.
+// Fence is the condition of an append.
 type Fence struct {
-	Epoch    int64
-	Sequence int64 // rises by one per append within an epoch
-	// At, if not negative, is the offset at which the stream must end. Otherwise the
+	// Epoch, if not 0, makes the append fail with kind stale_epoch if a higher epoch
+	// was seen. Sequence rises by one per append within an epoch; a repeat is
+	// recognized and not stored twice.
+	Epoch, Sequence int64
+	// At applies if Epoch is 0: the stream must end at this offset, otherwise the
 	// append fails with kind conflict.
 	At int64
 }
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -44,6 +44,13 @@
 	Address string `cbor:"3,keyasint"`           // for calls between daemons
 	Term    int64  `cbor:"4,keyasint"`           // rises with each leader
 	Left    bool   `cbor:"5,keyasint,omitempty"` // it has given leadership up
+	Beat    int64  `cbor:"6,keyasint,omitempty"` // heartbeat of the term; the claim is 0
+}
+
+// same reports whether two entries come from the same leader in the same state.
+func (l Leader) same(o Leader) bool {
+	l.Beat = o.Beat
+	return l == o
 }
 
 // Token is the first fencing token of the leader's term.
@@ -61,9 +68,10 @@
 
 // Tenure follows who leads the cell, and claims leadership when nobody does.
 //
-// A claim is an append under the condition that the log has not moved on. The
-// offset of the claim is the term, so that a later claim has a higher one; the
-// log refuses appends of earlier terms.
+// Every append to the stream, a claim or a heartbeat, has the condition that the
+// log has not moved on since the writer has read it. So no heartbeat of a leader
+// is stored after the claim of another one. The offset of the claim gives the
+// term, so that a later claim has a higher one.
 type Tenure struct {
 	cfg TenureConfig
 
@@ -225,7 +233,7 @@
 		return false
 	}
 	t.heardAt = now
-	if l != t.leader {
+	if !l.same(t.leader) {
 		t.setLeader(l)
 	}
 	return true
@@ -246,14 +254,8 @@
 	l.Term = at + 1
 	t.cfg.Logger.Info().Str("event", "leadership_claimed").Int64("term", l.Term).Send()
 	sent := t.cfg.Clock()
-	err := t.append(ctx, l, Fence{Epoch: l.Term, Sequence: 0, At: at})
-	if errkind.Of(err) == errkind.AppendUnknown && err != nil {
-		// The claim may be stored. A repeat under the same condition tells, since the
-		// log answers a repeated append as it did the first time.
-		err = t.append(ctx, l, Fence{Epoch: l.Term, Sequence: 0, At: at})
-	}
-	if err != nil {
-		t.cfg.Logger.Info().Str("event", "claim_failed").Int64("term", l.Term).Err(err).Send()
+	if !t.settleAppend(ctx, l, at) {
+		t.cfg.Logger.Info().Str("event", "claim_failed").Int64("term", l.Term).Send()
 		return 0, false
 	}
 	t.mu.Lock()
@@ -263,14 +265,52 @@
 	return l.Term, true
 }
 
-func (t *Tenure) append(ctx context.Context, l Leader, f Fence) error {
+// claimTries is how often an append whose outcome is not known is repeated.
+const claimTries = 3
+
+// settleAppend appends an entry at an offset, repeats it while the outcome is not
+// known, and reports whether the entry is stored there.
+func (t *Tenure) settleAppend(ctx context.Context, l Leader, at int64) bool {
+	for range claimTries {
+		err := t.append(ctx, l, at)
+		if err == nil {
+			return true
+		}
+		if errkind.Of(err) == errkind.Conflict {
+			return t.storedAt(ctx, l, at)
+		}
+		if !pause.For(ctx, logRetry) {
+			return false
+		}
+	}
+	return false
+}
+
+// storedAt reports whether the entry at an offset is l.
+func (t *Tenure) storedAt(ctx context.Context, l Leader, at int64) bool {
+	page, err := t.read(ctx, at, 0)
+	if err != nil {
+		t.noteReach(false, err)
+		return false
+	}
+	for _, e := range page.Entries {
+		var found Leader
+		if e.Offset == at && cbor.Unmarshal(e.Value, &found) == nil {
+			return found == l
+		}
+	}
+	return false
+}
+
+// append stores one entry if the stream ends at the offset.
+func (t *Tenure) append(ctx context.Context, l Leader, at int64) error {
 	data, err := cbor.Marshal(l)
 	if err != nil {
 		return errkind.Wrap(errkind.InternalFailure, "encode", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
-	return t.cfg.Log.Append(ctx, StreamTenure, []Entry{{Value: data}}, f)
+	return t.cfg.Log.Append(ctx, StreamTenure, []Entry{{Value: data}}, Fence{At: at})
 }
 
 // lead runs the leader's work and its heartbeats until leadership is lost.
@@ -286,7 +326,7 @@
 		defer close(done)
 		t.cfg.Lead(work, term)
 	}()
-	sequence, fenced := t.heartbeats(work, l)
+	at, fenced := t.heartbeats(work, &l)
 	cancel()
 	t.mu.Lock()
 	t.validUntil, t.giveUp = 0, nil
@@ -297,10 +337,11 @@
 		return
 	}
 	l.Left = true
-	late, stop := context.WithTimeout(context.WithoutCancel(ctx), logTimeout)
+	l.Beat++
+	late, stop := context.WithTimeout(context.WithoutCancel(ctx), 2*logTimeout)
 	defer stop()
-	if err := t.append(late, l, Fence{Epoch: term, Sequence: sequence, At: -1}); err != nil {
-		t.cfg.Logger.Warn().Str("event", "farewell_not_stored").Int64("term", term).Err(err).Send()
+	if !t.settleAppend(late, l, at) {
+		t.cfg.Logger.Warn().Str("event", "farewell_not_stored").Int64("term", term).Send()
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -310,30 +351,61 @@
 }
 
 // heartbeats appends heartbeats until ctx ends or another leader is found. It
-// returns the next sequence number.
-func (t *Tenure) heartbeats(ctx context.Context, l Leader) (next int64, fenced bool) {
-	sequence := int64(1)
+// returns the offset of the next append.
+func (t *Tenure) heartbeats(ctx context.Context, l *Leader) (at int64, fenced bool) {
+	at = l.Term // the claim is at offset Term-1
 	for pause.For(ctx, heartbeatEvery) {
+		l.Beat++
 		sent := t.cfg.Clock()
-		err := t.append(ctx, l, Fence{Epoch: l.Term, Sequence: sequence, At: -1})
-		switch kind := errkind.Of(err); {
-		case err == nil:
-			sequence++
-			t.mu.Lock()
-			if t.cfg.Clock() >= t.validUntil {
-				t.cfg.Logger.Warn().Str("event", "tenure_resumed").Int64("term", l.Term).
-					Int64("gap_ms", (t.cfg.Clock() - t.validUntil).Milliseconds()).Send()
+		err := t.append(ctx, *l, at)
+		if errkind.Of(err) == errkind.Conflict && err != nil {
+			// Either an earlier try is stored, or another daemon has claimed leadership.
+			if fenced = t.taken(ctx, l.Term, &at); fenced {
+				return at, true
 			}
-			t.validUntil = sent + tenureFor
-			t.mu.Unlock()
-			t.noteReach(true, nil)
-		case kind == errkind.StaleEpoch:
-			return sequence, true
-		case kind == errkind.Conflict:
-			sequence++ // an earlier append that was not answered is stored
-		case ctx.Err() == nil:
-			t.noteReach(false, err)
+			continue
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				t.noteReach(false, err)
+			}
+			continue
+		}
+		at++
+		t.confirm(sent, l.Term)
+	}
+	return at, false
+}
+
+// confirm extends this daemon's tenure after a heartbeat was stored.
+func (t *Tenure) confirm(sent time.Duration, term int64) {
+	t.mu.Lock()
+	now := t.cfg.Clock()
+	if now >= t.validUntil {
+		t.cfg.Logger.Warn().Str("event", "tenure_resumed").Int64("term", term).Int64("gap_ms", (now - t.validUntil).Milliseconds()).Send()
+	}
+	t.validUntil = max(t.validUntil, sent+tenureFor)
+	t.mu.Unlock()
+	t.noteReach(true, nil)
+}
+
+// taken reads the stream from an offset on. It reports whether another leader has
+// claimed a later term, and moves at behind the entries of this one.
+func (t *Tenure) taken(ctx context.Context, term int64, at *int64) bool {
+	page, err := t.read(ctx, *at, 0)
+	if err != nil {
+		t.noteReach(false, err)
+		if errkind.Of(err) == errkind.NotFound {
+			*at = max(*at, page.End)
+		}
+		return false
+	}
+	for _, e := range page.Entries {
+		var found Leader
+		if err := cbor.Unmarshal(e.Value, &found); err != nil || found.Term > term {
+			return true
 		}
+		*at = e.Offset + 1
 	}
-	return sequence, false
+	return false
 }
