--- a/cell/front.go
+++ b/cell/front.go
@@ -10,8 +10,9 @@
 
 const (
 	// submitPatience is how long a submission waits for a leader before it is
-	// refused. The caller is then told to come back.
-	submitPatience = 300 * time.Millisecond
+	// refused: most changes of the leader are over by then. The caller is then told
+	// to come back.
+	submitPatience = 1000 * time.Millisecond
 	// askPatience is the same for questions about a job and for cancellations, which
 	// callers cannot send elsewhere.
 	askPatience = 1500 * time.Millisecond
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -17,18 +17,18 @@
 const (
 	// heartbeatEvery is the interval of the leader's heartbeats in the log. Each
 	// costs one append and one read per daemon.
-	heartbeatEvery = 300 * time.Millisecond
+	heartbeatEvery = 200 * time.Millisecond
 	// tenureFor is how long a leader may give orders after it sent a heartbeat that
 	// was stored.
-	tenureFor = 1000 * time.Millisecond
+	tenureFor = 700 * time.Millisecond
 	// takeoverAfter is the silence in a readable log after which a daemon claims
 	// leadership. It is longer than tenureFor plus the drift of two clocks.
-	takeoverAfter = 1300 * time.Millisecond
+	takeoverAfter = 850 * time.Millisecond
 	// rankSpan spreads the claims of the daemons, so that rarely two are made at once.
-	rankSpan = 250 * time.Millisecond
+	rankSpan = 150 * time.Millisecond
 	// distanceFactor delays claims of daemons that are far from the log, by their
 	// round trip times this factor.
-	distanceFactor = 25
+	distanceFactor = 12
 	// yieldFor is how long a daemon that has given leadership up leaves it to others.
 	yieldFor = 6 * time.Second
 	// logTimeout bounds a call to the log, beyond the time that it may wait.
--- a/sched/job.go
+++ b/sched/job.go
@@ -55,10 +55,9 @@
 	run        *run // the current run, nil if none holds room
 	lastRun    int64
 	done       bool
-	failures   int
-	counted    int64  // highest run whose failure was counted
-	moves      int    // runs that were stopped because they stood still or were slow
-	avoid      string // machine on which it failed or stood still last
+	failed     []int64 // numbers of the runs that failed
+	moves      int     // runs that were stopped because they stood still or were slow
+	avoid      string  // machine on which it failed or stood still last
 	checkpoint string
 }
 
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -32,15 +32,10 @@
 }
 
 type stepProgress struct {
-	Occurrence int               `cbor:"1,keyasint,omitempty"`
-	Step       int               `cbor:"2,keyasint,omitempty"`
-	Done       []byte            `cbor:"3,keyasint,omitempty"` // one bit a task
-	Failures   map[int]taskFails `cbor:"4,keyasint,omitempty"`
-}
-
-type taskFails struct {
-	Count   int   `cbor:"1,keyasint"`
-	Counted int64 `cbor:"2,keyasint"` // run of the last failure
+	Occurrence int             `cbor:"1,keyasint,omitempty"`
+	Step       int             `cbor:"2,keyasint,omitempty"`
+	Done       []byte          `cbor:"3,keyasint,omitempty"` // one bit a task
+	Failures   map[int][]int64 `cbor:"4,keyasint,omitempty"` // task to its failed runs
 }
 
 type machineRecord struct {
@@ -166,11 +161,11 @@
 				if t.done {
 					p.Done[i/8] |= 1 << (i % 8)
 				}
-				if t.failures > 0 {
+				if len(t.failed) > 0 {
 					if p.Failures == nil {
-						p.Failures = make(map[int]taskFails)
+						p.Failures = make(map[int][]int64)
 					}
-					p.Failures[i] = taskFails{t.failures, t.counted}
+					p.Failures[i] = t.failed
 				}
 			}
 			if p.Done != nil || p.Failures != nil {
@@ -253,8 +248,9 @@
 		}
 		s := j.occurrences[p.Occurrence].steps[p.Step]
 		for i, t := range s.tasks {
-			if f, ok := p.Failures[i]; ok {
-				t.failures, t.counted, t.lastRun = f.Count, f.Counted, max(t.lastRun, f.Counted)
+			t.failed = p.Failures[i]
+			for _, run := range t.failed {
+				t.lastRun = max(t.lastRun, run)
 			}
 			if i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0 {
 				e.taskDone(t, now)
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -27,6 +27,7 @@
 	replaced  bool    // another incarnation answers at its address
 	foreign   bool    // runs of a former leader may still be on it
 	perStep   map[*step]int
+	strangers int // runs of unknown size that are being stopped; until they end the machine takes no work
 }
 
 type runKey struct {
@@ -202,6 +203,7 @@
 		}
 	}
 	present := make(map[runKey]bool, len(l.Running))
+	m.strangers = 0
 	for _, rep := range l.Running {
 		present[runKey{rep.Task, rep.Run}] = true
 		e.listed(m, rep, now)
@@ -265,6 +267,7 @@
 		wanted = false
 	}
 	if !wanted {
+		m.strangers++
 		e.orders.Stops = append(e.orders.Stops, Stop{m.spec, m.token, rep.Task, rep.Run})
 		e.log.Warn().Str("event", "unknown_run_stopped").Str("machine", m.spec.ID).Str("task", rep.Task).
 			Int64("run", rep.Run).Bool("task_known", t != nil).Send()
@@ -348,7 +351,7 @@
 	if t.step.spec.Persistent {
 		return
 	}
-	if t.failures > 0 && first != "" && first != m.spec.ID {
+	if len(t.failed) > 0 && first != "" && first != m.spec.ID {
 		// The task fails wherever it runs: the machines are not at fault.
 		if f := e.machines[first]; f != nil {
 			f.health.forgive(j.spec.ID)
@@ -359,13 +362,12 @@
 	if t.step.spec.Gang {
 		counter = t.step.tasks[0]
 	}
-	if run <= counter.counted {
+	if slices.Contains(counter.failed, run) {
 		return
 	}
-	counter.counted = run
-	counter.failures++
+	counter.failed = append(counter.failed, run)
 	e.journal.dirty[j] = true
-	if counter.failures >= j.queue.MaxAttempts {
+	if len(counter.failed) >= j.queue.MaxAttempts {
 		e.finish(j, Failed, "task "+t.name()+" has used its attempts", now)
 	}
 }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -120,7 +120,7 @@
 	sp = &servicePass{}
 	var suspects []*machineState
 	for _, m := range p.e.machines {
-		if m.spec.Service != name || !m.listed || m.spec.Draining || !m.looked || !m.stored {
+		if m.spec.Service != name || !m.listed || m.spec.Draining || !m.looked || !m.stored || m.strangers > 0 {
 			continue
 		}
 		if p.now-m.lookedAt > silentAfter {
