Let the lease of a silent machine end

Runs on a machine that leaves are now stopped in time with their checkpoints. Ruled out: the host list, which had dropped the machine at once. Conclusion: leases get longer only up to 3 s after the last answer.

--- a/sched/machine.go
+++ b/sched/machine.go
@@ -27,7 +27,8 @@
 	replaced  bool    // another incarnation answers at its address
 	foreign   bool    // runs of a former leader may still be on it
 	perStep   map[*step]int
-	strangers int // runs of unknown size that are being stopped; until they end the machine takes no work
+	leavesAt  time.Duration // least time at which a draining machine leaves, 0 if not known
+	strangers int           // runs of unknown size that are being stopped; until they end the machine takes no work
 }
 
 type runKey struct {
@@ -119,6 +120,9 @@
 	if spec.Born < m.spec.Born {
 		return // an entry of a former incarnation
 	}
+	if spec.Draining && spec.Remaining > 0 && (m.leavesAt == 0 || spec.Remaining != m.spec.Remaining) {
+		m.leavesAt = now + spec.Remaining
+	}
 	if spec.Draining != m.spec.Draining {
 		e.log.Info().Str("event", "machine_draining").Str("machine", spec.ID).Bool("draining", spec.Draining).Send()
 	}
@@ -436,13 +440,18 @@
 	}
 }
 
+// renewWindow is the time after the last answer of a machine up to which leases
+// get longer. It covers a look that waits and is repeated once. Orders to a
+// machine that stays silent must not extend its lease without end.
+const renewWindow = 3 * time.Second
+
 // lease returns the end of a full lease on the machine's clock, and remembers
 // that it may have been granted.
 func (c *leaseClock) lease(now time.Duration) int64 {
 	if !c.known {
 		return 0
 	}
-	end := c.reading + (now - c.at + c.maxLease).Milliseconds()
+	end := c.reading + (min(now-c.at, renewWindow) + c.maxLease).Milliseconds()
 	c.sent = max(c.sent, end)
 	return end
 }
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -131,6 +131,8 @@
 				e.stop(r, r.reason, now)
 			case r.state == runStopping && now-r.stopSent > e.cfg.StopLimit+2*stopRetry:
 				e.stop(r, r.reason, now)
+			case r.state == runListed && e.leaving(m, r, now):
+				e.stop(r, "machine_leaves", now)
 			case r.state == runListed:
 				if why := e.lagging(r, now); why != "" {
 					e.move(r, why, now)
@@ -146,6 +148,30 @@
 // watchEvery is the interval of checks on running tasks.
 const watchEvery = 100 * time.Millisecond
 
+// leaveReserve is the time before a machine leaves, beyond that of a stop, at
+// which its runs are stopped so that their checkpoints are known in time.
+const leaveReserve = 900 * time.Millisecond
+
+// leaving reports whether a run on a draining machine should be stopped. A run
+// that keeps its progress works on until shortly before the machine leaves; one
+// that would lose it is stopped as soon as it cannot end in time.
+func (e *Engine) leaving(m *machineState, r *run, now time.Duration) bool {
+	if m.leavesAt == 0 || r.task.done {
+		return false
+	}
+	left := m.leavesAt - now - e.cfg.StopLimit - leaveReserve
+	if left <= 0 {
+		return true
+	}
+	s := r.task.step
+	if s.spec.SavesProgress || s.spec.Persistent || r.percent <= 0 || r.seenAt <= r.started {
+		return false
+	}
+	age := r.seenAt - r.started
+	rest := age*time.Duration(100-r.percent)/time.Duration(r.percent) - (now - r.seenAt)
+	return rest > m.leavesAt-now
+}
+
 // lagging returns why a run should be moved, or an empty text.
 func (e *Engine) lagging(r *run, now time.Duration) string {
 	s := r.task.step
