--- /dev/null
+++ b/cell/tenure_test.go
@@ -0,0 +1,224 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+// memoryLog is a log of one stream in memory.
+type memoryLog struct {
+	mu      sync.Mutex
+	entries []Entry
+	changed chan struct{}
+	// fail, if set, is asked before each call of a daemon; it returns an error
+	// instead of an answer, and whether an append is done all the same.
+	fail func(append bool) (err error, done bool)
+}
+
+func newMemoryLog() *memoryLog { return &memoryLog{changed: make(chan struct{})} }
+
+func (l *memoryLog) Append(_ context.Context, _ Stream, entries []Entry, f Fence) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var err error
+	if l.fail != nil {
+		var done bool
+		if err, done = l.fail(true); err != nil && !done {
+			return err
+		}
+	}
+	if f.Epoch == 0 && f.At != int64(len(l.entries)) {
+		return errkind.New(errkind.Conflict, "moved", "ends at %d", len(l.entries))
+	}
+	for _, e := range entries {
+		e.Offset = int64(len(l.entries))
+		l.entries = append(l.entries, e)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return err
+}
+
+func (l *memoryLog) Read(ctx context.Context, _ Stream, from int64, wait time.Duration) (Page, error) {
+	timeout := time.After(wait)
+	for {
+		l.mu.Lock()
+		if l.fail != nil {
+			if err, _ := l.fail(false); err != nil {
+				l.mu.Unlock()
+				return Page{}, err
+			}
+		}
+		end, changed := int64(len(l.entries)), l.changed
+		if from < end {
+			p := Page{Entries: append([]Entry(nil), l.entries[from:]...), End: end}
+			l.mu.Unlock()
+			return p, nil
+		}
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Page{}, errkind.Wrap(errkind.LogUnavailable, "timeout", ctx.Err())
+		case <-timeout:
+			return Page{End: end}, nil
+		}
+	}
+}
+
+func (l *memoryLog) Newest(context.Context, Stream) (Page, error) { return Page{}, nil }
+
+// candidate is a daemon that may lead in a test.
+type candidate struct {
+	tenure  *Tenure
+	leading atomic.Bool
+	stop    context.CancelFunc
+	done    chan struct{}
+	shift   atomic.Int64 // added to its clock, ns
+}
+
+func startCandidate(t *testing.T, log Log, name string) *candidate {
+	c := &candidate{done: make(chan struct{})}
+	began := time.Now()
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	c.tenure = NewTenure(TenureConfig{
+		Self: Leader{Daemon: name, Life: time.Now().UnixNano(), Address: name}, Log: log, Logger: zerolog.Nop(),
+		Clock: func() time.Duration { return time.Since(began) + time.Duration(c.shift.Load()) + time.Second },
+		Lead: func(ctx context.Context, _ int64) {
+			c.leading.Store(true)
+			<-ctx.Done()
+			c.leading.Store(false)
+		},
+	})
+	go func() {
+		defer close(c.done)
+		c.tenure.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-c.done
+	})
+	return c
+}
+
+func within(t *testing.T, what string, limit time.Duration, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+	}
+}
+
+func holders(cs []*candidate) (n int, last *candidate) {
+	for _, c := range cs {
+		if c.tenure.Held() {
+			n, last = n+1, c
+		}
+	}
+	return n, last
+}
+
+// TestOneLeaderAtATime guards against two daemons that both hold the tenure: at
+// the start, after the leader stops, and after it dies.
+func TestOneLeaderAtATime(t *testing.T) {
+	log := newMemoryLog()
+	var cs []*candidate
+	for _, name := range []string{"a", "b", "c", "d"} {
+		cs = append(cs, startCandidate(t, log, name))
+	}
+	stop := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				if n, _ := holders(cs); n > 1 {
+					t.Errorf("%d daemons hold the tenure", n)
+					return
+				}
+			}
+		}
+	})
+	for range 3 {
+		var leader *candidate
+		within(t, "a leader", 4*time.Second, func() bool {
+			_, leader = holders(cs)
+			return leader != nil && leader.leading.Load()
+		})
+		leader.tenure.GiveUp("test")
+		within(t, "another leader", 4*time.Second, func() bool {
+			_, next := holders(cs)
+			return next != nil && next != leader
+		})
+	}
+	close(stop)
+	watch.Wait()
+}
+
+// TestPausedLeaderLosesTenure guards against orders of a leader that was
+// suspended beyond its tenure and has not noticed.
+func TestPausedLeaderLosesTenure(t *testing.T) {
+	c := startCandidate(t, newMemoryLog(), "a")
+	within(t, "a leader", 4*time.Second, c.tenure.Held)
+	c.shift.Add(int64(tenureFor))
+	if c.tenure.Held() {
+		t.Error("the tenure is held after a pause as long as it lasts")
+	}
+	within(t, "the tenure is confirmed again", time.Second, c.tenure.Held)
+}
+
+// TestLostAnswersKeepLeader guards against a leader that gives up, or a second
+// one that comes up, because answers to its appends are lost.
+func TestLostAnswersKeepLeader(t *testing.T) {
+	log := newMemoryLog()
+	a, b := startCandidate(t, log, "a"), startCandidate(t, log, "b")
+	cs := []*candidate{a, b}
+	within(t, "a leader", 4*time.Second, func() bool { n, _ := holders(cs); return n == 1 })
+	_, leader := holders(cs)
+	first, _ := leader.tenure.Leader()
+	n := 0
+	log.mu.Lock()
+	log.fail = func(isAppend bool) (error, bool) {
+		if n++; isAppend && n%2 == 0 {
+			return errkind.New(errkind.AppendUnknown, "lost", "no answer"), true
+		}
+		return nil, false
+	}
+	log.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	if now, _ := leader.tenure.Leader(); now.Term != first.Term {
+		t.Errorf("term %d is followed by %d although the leader lives", first.Term, now.Term)
+	}
+	within(t, "the tenure is held", time.Second, leader.tenure.Held)
+}
+
+// TestNoClaimWhileLogIsDown guards against a change of the leader right after an
+// outage of the log that the leader has survived.
+func TestNoClaimWhileLogIsDown(t *testing.T) {
+	log := newMemoryLog()
+	cs := []*candidate{startCandidate(t, log, "a"), startCandidate(t, log, "b")}
+	within(t, "a leader", 4*time.Second, func() bool { n, _ := holders(cs); return n == 1 })
+	_, leader := holders(cs)
+	log.mu.Lock()
+	log.fail = func(bool) (error, bool) { return errkind.New(errkind.LogUnavailable, "down", "down"), false }
+	log.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	if n, _ := holders(cs); n != 0 {
+		t.Errorf("%d daemons hold the tenure while the log is down", n)
+	}
+	log.mu.Lock()
+	log.fail = nil
+	log.mu.Unlock()
+	within(t, "the same leader goes on", time.Second, leader.tenure.Held)
+}
