--- a/cell/advisors.go
+++ b/cell/advisors.go
@@ -55,7 +55,7 @@
 		if a.busy || now < a.after {
 			continue
 		}
-		ask, ok := l.engine.NextAsk(askLimit(i, len(addresses)), now)
+		ask, ok := l.engine.NextAsk(askLimit(i, len(addresses), now-l.began), now)
 		if !ok {
 			continue
 		}
@@ -65,17 +65,23 @@
 	return out
 }
 
-// askLimit is the longest question for daemon i of n. Of four daemons, one is
-// kept for short questions and one for short and medium ones.
-func askLimit(i, n int) time.Duration {
+// aloneAfter is how long a new leader asks only short questions itself while no
+// other daemon has reported.
+const aloneAfter = time.Second
+
+// askLimit is the longest question for daemon i of n, after a time alone. Of four
+// daemons, one is kept for short questions and one for short and medium ones.
+func askLimit(i, n int, alone time.Duration) time.Duration {
 	const unlimited = time.Hour
 	kept := (n + 3) / 4
 	switch {
-	case n < 3:
+	case n == 1 && alone < aloneAfter:
+		return shortAsk
+	case n == 1:
 		return unlimited
 	case i < kept:
 		return shortAsk
-	case i < 2*kept:
+	case i < 2*kept && n > 2:
 		return mediumAsk
 	}
 	return unlimited
--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -16,7 +16,6 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
@@ -44,7 +43,7 @@
 	helloTimeout = 700 * time.Millisecond
 	// readyFor is how long after the last answer of the leader a daemon counts as
 	// ready. It is longer than a change of the leader takes.
-	readyFor = 4 * time.Second
+	readyFor = 2 * time.Second
 	// configWait is how long one read waits for a new configuration.
 	configWait = 8 * time.Second
 )
@@ -78,6 +77,11 @@
 	}
 	d := &Daemon{set: set, log: set.Logger, clock: set.Clock, peers: newPeers(), newConfig: make(chan struct{}, 1)}
 	d.route = &routedLog{direct: set.Log, peers: d.peers, clock: set.Clock, log: set.Logger}
+	d.route.onSilence = func() {
+		if d.lead.Load() != nil {
+			d.tenure.GiveUp("the log does not answer this daemon")
+		}
+	}
 	d.tenure = NewTenure(TenureConfig{
 		Self: Leader{Daemon: set.Name, Life: time.Now().UnixNano(), Address: joinPort(set.IP, set.Port)},
 		Log:  d.route, Clock: set.Clock, Lead: d.runLead, Logger: set.Logger,
@@ -190,14 +194,21 @@
 
 // greet reports to the leader, which answers with what this daemon needs to know.
 func (d *Daemon) greet(ctx context.Context) {
-	for pause.For(ctx, helloEvery) {
+	for ctx.Err() == nil {
+		// A new leader needs the other daemons at once.
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.tenure.Changed():
+		case <-time.After(helloEvery):
+		}
 		l, ok := d.tenure.Leader()
 		if !ok || l.Life == d.tenure.cfg.Self.Life {
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, helloTimeout)
 		out, err := d.peers.call(limited, l.Address, rpcHello, &call{
-			Daemon: d.set.Name, Address: joinPort(d.set.IP, d.set.Port), Reach: d.tenure.Reachable(),
+			Daemon: d.set.Name, Address: joinPort(d.set.IP, d.set.Port), Reach: d.route.reaches(),
 		})
 		cancel()
 		if err != nil {
--- a/cell/lead.go
+++ b/cell/lead.go
@@ -42,6 +42,7 @@
 	term  int64
 	log   zerolog.Logger
 	clock Clock
+	began time.Duration
 
 	mu       sync.Mutex
 	engine   *sched.Engine
@@ -73,6 +74,7 @@
 		planSoon: make(chan struct{}, 1), flushSoon: make(chan struct{}, 1),
 	}
 	began := d.clock()
+	l.began = began
 	records, ok := l.takeOver(ctx)
 	if !ok {
 		return
@@ -229,7 +231,7 @@
 	}
 	p.seen, p.reach = now, c.Reach
 	out := &reply{Pending: l.engine.Pending()}
-	if l.d.tenure.Reachable() {
+	if l.d.route.reaches() {
 		out.Peers = append(out.Peers, l.d.tenure.cfg.Self.Address)
 	}
 	const relayLimit = 5 // a daemon needs few others to get through
--- a/cell/logroute.go
+++ b/cell/logroute.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
@@ -31,6 +32,21 @@
 	relays   []string // addresses of daemons that reach the log
 	badUntil time.Duration
 	turn     int
+	silent   int // direct calls in a row that timed out
+	// onSilence is called when the log does not answer this daemon at all, while
+	// other daemons may reach it.
+	onSilence func()
+}
+
+// silenceCalls is the number of direct calls in a row without any answer after
+// which the log counts as silent. A refusal is an answer.
+const silenceCalls = 2
+
+// reaches reports whether the log answers this daemon directly.
+func (r *routedLog) reaches() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.badUntil == 0
 }
 
 var _ Log = (*routedLog)(nil)
@@ -53,14 +69,22 @@
 	return r.clock() >= r.badUntil || relay == "", relay
 }
 
-// note remembers whether the log answered a direct call.
-func (r *routedLog) note(ok bool) {
+// note remembers whether the log answered a direct call, or did not answer in time.
+func (r *routedLog) note(ok, timedOut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ok {
-		r.badUntil = 0
+		r.badUntil, r.silent = 0, 0
 		return
 	}
+	if timedOut {
+		r.silent++
+	} else {
+		r.silent = 0
+	}
+	if r.silent == silenceCalls && len(r.relays) > 0 && r.onSilence != nil {
+		go r.onSilence()
+	}
 	if r.badUntil == 0 && len(r.relays) > 0 {
 		r.log.Warn().Str("event", "log_through_relays").Int("relays", len(r.relays)).Send()
 	}
@@ -88,12 +112,15 @@
 			limited, cancel = context.WithTimeout(ctx, c.Wait+directTimeout)
 		}
 		page, err := direct(limited)
+		timedOut := limited.Err() != nil
 		cancel()
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return page, err
+		}
+		r.note(answered(err), timedOut)
 		if answered(err) || ctx.Err() != nil {
-			r.note(answered(err))
 			return page, err
 		}
-		r.note(false)
 		if relay == "" {
 			return page, err
 		}
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -112,13 +112,6 @@
 	return t.cfg.Clock() < t.validUntil
 }
 
-// Reachable reports whether the last call to the log was answered.
-func (t *Tenure) Reachable() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.reachable
-}
-
 // GiveUp ends this daemon's leadership, if it has it, and leaves it to others
 // for some seconds.
 func (t *Tenure) GiveUp(why string) {
