--- a/sched/advice.go
+++ b/sched/advice.go
@@ -20,46 +20,57 @@
 	// askSpare is how many more allowed machines a first question aims for than the
 	// tasks need, so that some have room when the answer is there.
 	askSpare = 1.6
+	// searchEvery is the shortest time between two searches of a step for machines
+	// to ask about, and searchLimit the number of searches of one pass. They bound
+	// the processor time of a pass while many steps wait.
+	searchEvery = 40 * time.Millisecond
+	searchLimit = 24
 	// askPause is the wait after a question that was not answered.
 	askPause = 100 * time.Millisecond
 )
 
 // advice is what the advisor has said about a step.
 type advice struct {
-	asked    map[string]bool // machine incarnations that were named in a question
-	tickets  map[string]ticket
+	asked    map[*machineState]int64 // machines named in a question, with the incarnation (Born)
+	allowed  []allowance
 	want     []string // machines for the next question
 	inFlight bool
 	after    time.Duration // no question before this time
+	checked  time.Duration // when unasked machines were last looked for
 }
 
-// ticket allows the tasks of a step on one incarnation of a machine.
-type ticket struct {
-	text   string
+// allowance allows the tasks of a step on one incarnation of a machine.
+type allowance struct {
+	m      *machineState
 	born   int64
+	ticket string
 	issued time.Duration
 	until  time.Duration
 }
 
-// good reports whether the advisor has allowed m, with a valid ticket or not.
-func (a *advice) good(m *machineState) bool {
-	t, ok := a.tickets[m.spec.ID]
-	return ok && t.born == m.spec.Born
+// find returns the allowance for m, valid or not, or nil.
+func (a *advice) find(m *machineState) *allowance {
+	for i := range a.allowed {
+		if x := &a.allowed[i]; x.m == m && x.born == m.spec.Born {
+			return x
+		}
+	}
+	return nil
 }
 
 // allows reports whether a task may start on m now.
 func (a *advice) allows(m *machineState, now time.Duration) bool {
-	if a.tickets == nil && a.asked == nil {
-		return true
+	if a.asked == nil {
+		return true // the queue has no advisor
 	}
-	t, ok := a.tickets[m.spec.ID]
-	return ok && t.born == m.spec.Born && now+ticketMargin < t.until
+	x := a.find(m)
+	return x != nil && now+ticketMargin < x.until
 }
 
-// ticket returns the ticket for m and its age, or an empty text.
-func (a *advice) ticket(m *machineState, now time.Duration) (string, time.Duration) {
-	t := a.tickets[m.spec.ID]
-	return t.text, now - t.issued
+// forget removes what is known about m.
+func (a *advice) forget(m *machineState) {
+	delete(a.asked, m)
+	a.allowed = slices.DeleteFunc(a.allowed, func(x allowance) bool { return x.m == m })
 }
 
 // wantAdvice sets the next question of a step: about missing, which are allowed
@@ -73,53 +84,60 @@
 		s.advice.want = lo.Uniq(lo.Map(missing, func(m *machineState, _ int) string { return m.spec.ID }))
 		return
 	}
-	s.advice.want = nil
-	if blocked {
+	if blocked && p.searches > 0 && p.now-s.advice.checked >= searchEvery {
+		p.searches--
+		s.advice.checked = p.now
 		s.advice.want = p.unasked(s)
 	}
 }
 
 // unasked chooses machines that s has not asked about, those with most room first.
 func (p *pass) unasked(s *step) []string {
-	q := s.occ.job.queue
-	var open []*machineState
+	type choice struct {
+		m     *machineState
+		room  int // tasks that fit now; beyond a few the speed matters more
+		score float64
+	}
+	const enoughRoom = 2
+	var open []choice
 	known := 0
-	for _, m := range p.service(q.Service).machines {
+	for _, m := range p.service(s.occ.job.queue.Service).machines {
 		if !p.eligible(s, m) {
 			continue
 		}
-		if s.advice.asked[m.askKey()] {
-			if s.advice.good(m) {
+		if born, asked := s.advice.asked[m]; asked && born == m.spec.Born {
+			if s.advice.find(m) != nil {
 				known += wholeSlots(s, m)
 			}
 			continue
 		}
-		open = append(open, m)
+		open = append(open, choice{m, min(p.slots(s, m), enoughRoom), p.score(s, m)})
 	}
-	if known >= 3*len(s.tasks) {
-		return nil // enough allowed machines; they are only full
+	if known >= knownEnough*len(s.tasks) {
+		return nil // they are only full
 	}
-	slices.SortFunc(open, func(a, b *machineState) int {
-		return cmp.Or(cmp.Compare(p.roomRank(s, b), p.roomRank(s, a)), cmp.Compare(p.score(s, a), p.score(s, b)),
-			cmp.Compare(a.spec.ID, b.spec.ID))
+	slices.SortFunc(open, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(a.score, b.score), cmp.Compare(a.m.spec.ID, b.m.spec.ID))
 	})
-	n := min(p.e.questionSize(s, open), len(open), askLimit)
-	return lo.Map(open[:n], func(m *machineState, _ int) string { return m.spec.ID })
+	slots := 0
+	for _, c := range open {
+		slots += wholeSlots(s, c.m)
+	}
+	n := min(p.e.questionSize(s, len(open), slots), len(open), askLimit)
+	return lo.Map(open[:n], func(c choice, _ int) string { return c.m.spec.ID })
 }
 
-// roomRank is how many tasks of s fit on m now, capped: beyond some the speed matters more.
-func (p *pass) roomRank(s *step, m *machineState) int { return min(p.slots(s, m), 2) }
+// knownEnough times the tasks of a step is the room on allowed machines, were they
+// empty, beyond which no further machines are asked about.
+const knownEnough = 3
 
-// questionSize returns how many machines a first question names.
-func (e *Engine) questionSize(s *step, open []*machineState) int {
-	if len(open) == 0 {
+// questionSize returns how many of the open machines, which could hold a number of
+// tasks if they were empty, a first question names.
+func (e *Engine) questionSize(s *step, open, slots int) int {
+	if open == 0 {
 		return 0
 	}
-	slots := 0
-	for _, m := range open {
-		slots += wholeSlots(s, m)
-	}
-	perMachine := math.Max(float64(slots)/float64(len(open))/2, 1) // about half of a machine is in use
+	perMachine := math.Max(float64(slots)/float64(open)/2, 1) // about half of a machine is in use
 	machines := float64(len(s.tasks))/perMachine + 1
 	rate, ok := e.goodRate[s.occ.job.queue.Name]
 	if !ok {
@@ -128,9 +146,6 @@
 	return int(math.Ceil(machines*askSpare/math.Max(rate, 0.1))) + 1
 }
 
-// askKey names an incarnation of a machine.
-func (m *machineState) askKey() string { return m.spec.ID + "/" + time.UnixMilli(m.spec.Born).String() }
-
 // NextAsk returns the most urgent question whose expected duration is at most
 // limit, and false if there is none.
 func (e *Engine) NextAsk(limit time.Duration, now time.Duration) (Ask, bool) {
@@ -165,7 +180,7 @@
 		return
 	}
 	if s.advice.asked == nil {
-		s.advice.asked, s.advice.tickets = make(map[string]bool), make(map[string]ticket)
+		s.advice.asked = make(map[*machineState]int64, len(a.Machines))
 	}
 	fresh := 0
 	for _, id := range a.Machines {
@@ -173,15 +188,14 @@
 		if m == nil {
 			continue
 		}
-		if !s.advice.asked[m.askKey()] {
+		if _, asked := s.advice.asked[m]; !asked {
 			fresh++
 		}
-		s.advice.asked[m.askKey()] = true
+		s.advice.forget(m)
+		s.advice.asked[m] = m.spec.Born
 		if text, ok := good[id]; ok {
 			// The ticket was written after the question arrived, not before sent.
-			s.advice.tickets[id] = ticket{text, m.spec.Born, now, sent + a.Expected + validFor}
-		} else {
-			delete(s.advice.tickets, id)
+			s.advice.allowed = append(s.advice.allowed, allowance{m, m.spec.Born, text, now, sent + a.Expected + validFor})
 		}
 	}
 	if fresh == len(a.Machines) && fresh > 0 {
--- /dev/null
+++ b/sched/bench_test.go
@@ -0,0 +1,90 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/machine"
+)
+
+// BenchmarkPlanBacklog measures one pass while many jobs wait for full machines,
+// which is when the leader must not fall behind.
+func BenchmarkPlanBacklog(b *testing.B) {
+	for _, size := range []struct{ machines, jobs int }{{48, 300}, {350, 1000}} {
+		b.Run(fmt.Sprintf("%dmachines%djobs", size.machines, size.jobs), func(b *testing.B) {
+			e, now := backlog(b, size.machines, size.jobs)
+			for b.Loop() {
+				now += 10 * time.Microsecond // machines count as silent after 3 s
+				e.Plan(now)
+			}
+		})
+	}
+}
+
+// backlog returns an engine with full machines and waiting jobs of three kinds.
+func backlog(tb testing.TB, machines, jobs int) (*Engine, time.Duration) {
+	now := time.Second
+	wall := time.UnixMilli(1_700_000_000_000)
+	e := New(Config{Token: 256, Lease: 6 * time.Second, GangWait: 3 * time.Second, SpreadFactor: 3, Logger: zerolog.Nop()}, now)
+	e.SetQueues(1, []Queue{
+		{Name: "quick", Service: "s", MaxAttempts: 3, Stretch: 1.5, Advice: &Advice{Base: 7 * time.Millisecond, PerMachine: 100 * time.Microsecond}},
+		{Name: "wide", Service: "s", Priority: 2, MaxAttempts: 3, Stretch: 4, Advice: &Advice{Base: 66 * time.Millisecond, PerMachine: time.Millisecond}},
+		{Name: "gang", Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 2, Advice: &Advice{Base: 510 * time.Millisecond, PerMachine: 7 * time.Millisecond}},
+	})
+	var list []Machine
+	for i := range machines {
+		list = append(list, Machine{ID: fmt.Sprintf("i-%04d", i), Born: 1, Service: "s", Rack: fmt.Sprintf("r%d", i/8),
+			Capacity: machine.Resources{CPUMilli: 16000, MemoryMiB: 32768}})
+	}
+	e.SetMachines(list, now)
+	flush := func() {
+		batch, _, err := e.Flush(wall)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		e.Flushed(batch, now)
+	}
+	flush()
+	for _, m := range list {
+		e.Observe(m.ID, 256, Look{Born: 1, Clock: 1}, now)
+	}
+	for i := range jobs + machines {
+		j := Job{ID: fmt.Sprintf("%016d", i), Accepted: wall.UnixMilli()}
+		switch i % 3 {
+		case 0:
+			j.Queue, j.Steps = "quick", []Step{{Count: 2, Estimate: 640 * time.Millisecond, Need: machine.Resources{CPUMilli: 1400, MemoryMiB: 2600}}}
+		case 1:
+			j.Queue, j.Steps = "wide", []Step{{Count: 10, Estimate: 2700 * time.Millisecond, Need: machine.Resources{CPUMilli: 980, MemoryMiB: 1400}}}
+		default:
+			j.Queue, j.Steps = "gang", []Step{{Count: 6, Gang: true, Estimate: 6200 * time.Millisecond, Need: machine.Resources{CPUMilli: 4500, MemoryMiB: 6400}}}
+		}
+		if err := e.Submit(j, now, wall, func() {}); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	flush()
+	// Answers every question until the machines are full.
+	for range 20 {
+		e.Plan(now)
+		for {
+			a, ok := e.NextAsk(time.Hour, now)
+			if !ok {
+				break
+			}
+			good := make(map[string]string)
+			for i, id := range a.Machines {
+				if i%2 == 0 {
+					good[id] = "t"
+				}
+			}
+			e.Answered(a, good, time.Hour, true, now, now)
+		}
+	}
+	if s := e.Stats(); s.WaitingSteps < jobs/3 {
+		tb.Fatalf("only %d steps wait", s.WaitingSteps)
+	}
+	return e, now
+}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -158,8 +158,7 @@
 // hold keeps machines free for a gang that does not fit yet: those allowed ones
 // with the most free room that together could hold it.
 func (p *pass) hold(s *step) {
-	q := s.occ.job.queue
-	sp := p.service(q.Service)
+	sp := p.service(s.occ.job.queue.Service)
 	limit := int(holdMachines * float64(len(sp.machines)))
 	if sp.holding >= limit {
 		return
@@ -170,8 +169,8 @@
 		share float64
 	}
 	var choices []choice
-	for _, m := range sp.machines {
-		if p.held[m] || !p.eligible(s, m) || (q.Advice != nil && !s.advice.good(m)) {
+	for _, m := range p.allowedMachines(s) {
+		if p.held[m] || !p.eligible(s, m) {
 			continue
 		}
 		n := wholeSlots(s, m)
--- a/sched/job.go
+++ b/sched/job.go
@@ -45,6 +45,7 @@
 	advice    advice
 	gang      gangState
 	tail      time.Duration // expected run time of the steps that depend on this one, and of it
+	urgency   urgency       // in the current pass
 	notBefore time.Duration // no new start before this time, after refusals
 }
 
@@ -52,6 +53,7 @@
 type task struct {
 	step       *step
 	index      int
+	name       string
 	run        *run // the current run, nil if none holds room
 	lastRun    int64
 	done       bool
@@ -78,7 +80,7 @@
 			s.tasks = make([]*task, s.spec.Count)
 			block := make([]task, s.spec.Count)
 			for n := range block {
-				block[n] = task{step: s, index: n}
+				block[n] = task{step: s, index: n, name: s.name + "." + strconv.Itoa(n)}
 				s.tasks[n] = &block[n]
 			}
 			o.steps = append(o.steps, s)
@@ -147,8 +149,6 @@
 	return id + "." + strconv.Itoa(occurrence) + "." + strconv.Itoa(index)
 }
 
-func (t *task) name() string { return t.step.name + "." + strconv.Itoa(t.index) }
-
 // findTask returns the task of that name, or nil.
 func (e *Engine) findTask(name string) *task {
 	parts := strings.Split(name, ".")
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -67,13 +67,13 @@
 
 func (m *machineState) reserve(r *run) {
 	m.used = m.used.Add(r.holds())
-	m.runs[runKey{r.task.name(), r.number}] = r
+	m.runs[runKey{r.task.name, r.number}] = r
 	m.perStep[r.task.step]++
 }
 
 func (m *machineState) release(r *run) {
 	m.used = m.used.Sub(r.holds())
-	delete(m.runs, runKey{r.task.name(), r.number})
+	delete(m.runs, runKey{r.task.name, r.number})
 	if m.perStep[r.task.step]--; m.perStep[r.task.step] == 0 {
 		delete(m.perStep, r.task.step)
 	}
@@ -164,7 +164,7 @@
 	for _, r := range m.runs {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *run) int { return strings.Compare(a.task.name(), b.task.name()) })
+	slices.SortFunc(out, func(a, b *run) int { return strings.Compare(a.task.name, b.task.name) })
 	return out
 }
 
@@ -215,7 +215,7 @@
 		e.listed(m, rep, now)
 	}
 	for _, r := range m.sortedRuns() {
-		if present[runKey{r.task.name(), r.number}] {
+		if present[runKey{r.task.name, r.number}] {
 			continue
 		}
 		switch {
@@ -382,13 +382,13 @@
 	counter.failed = append(counter.failed, run)
 	e.journal.dirty[j] = true
 	if len(counter.failed) >= j.queue.MaxAttempts {
-		e.finish(j, Failed, "task "+t.name()+" has used its attempts", now)
+		e.finish(j, Failed, "task "+t.name+" has used its attempts", now)
 	}
 }
 
 // closeRun ends a run that the machine will not report.
 func (e *Engine) closeRun(r *run, now time.Duration, why string) {
-	e.log.Info().Str("event", "run_closed").Str("machine", r.machine.spec.ID).Str("task", r.task.name()).
+	e.log.Info().Str("event", "run_closed").Str("machine", r.machine.spec.ID).Str("task", r.task.name).
 		Int64("run", r.number).Str("reason", why).Int64("age_ms", (now - r.ordered).Milliseconds()).Send()
 	began := r.started != 0
 	e.dropRun(r)
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -58,7 +58,7 @@
 	e.compact(now)
 	e.watchRuns(now)
 	e.refreshWaiting(now)
-	p := &pass{e: e, now: now, held: make(map[*machineState]bool), services: make(map[string]*servicePass)}
+	p := &pass{e: e, now: now, held: make(map[*machineState]bool), services: make(map[string]*servicePass), searches: searchLimit}
 	for _, s := range e.waiting {
 		if s.occ.job.state.final() || now < s.notBefore {
 			continue
@@ -90,11 +90,10 @@
 			}
 		}
 	}
-	keys := make(map[*step]urgency, len(e.waiting))
 	for _, s := range e.waiting {
-		keys[s] = e.urgencyOf(s, now)
+		s.urgency = e.urgencyOf(s, now)
 	}
-	slices.SortStableFunc(e.waiting, func(a, b *step) int { return keys[a].compare(keys[b]) })
+	slices.SortStableFunc(e.waiting, func(a, b *step) int { return a.urgency.compare(b.urgency) })
 }
 
 // pass is the state of one Plan.
@@ -103,11 +102,13 @@
 	now      time.Duration
 	held     map[*machineState]bool // kept free for a gang that comes first
 	services map[string]*servicePass
+	searches int // searches for machines to ask about that are left
 }
 
 // servicePass holds what the steps of one service share within a pass.
 type servicePass struct {
 	machines []*machineState
+	usable   map[*machineState]bool
 	holding  int // machines kept free
 }
 
@@ -136,10 +137,31 @@
 	if len(suspects) > len(sp.machines) {
 		sp.machines = append(sp.machines, suspects...)
 	}
+	sp.usable = make(map[*machineState]bool, len(sp.machines))
+	for _, m := range sp.machines {
+		sp.usable[m] = true
+	}
 	p.services[name] = sp
 	return sp
 }
 
+// allowedMachines returns the machines that s may use if they have room: all of
+// its service, or those that the advisor has allowed at some time.
+func (p *pass) allowedMachines(s *step) []*machineState {
+	q := s.occ.job.queue
+	sp := p.service(q.Service)
+	if q.Advice == nil {
+		return sp.machines
+	}
+	out := make([]*machineState, 0, len(s.advice.allowed))
+	for _, x := range s.advice.allowed {
+		if sp.usable[x.m] && x.born == x.m.spec.Born {
+			out = append(out, x.m)
+		}
+	}
+	return out
+}
+
 // silentAfter is the time without an answer after which a machine takes no new
 // work. A look waits up to 2 s for an end.
 const silentAfter = 3 * time.Second
@@ -210,10 +232,9 @@
 // candidates filters and scores the machines for s. Machines whose ticket is
 // missing or too old are included if the advisor has allowed them before.
 func (p *pass) candidates(s *step, expected time.Duration) []candidate {
-	q := s.occ.job.queue
 	var out []candidate
-	for _, m := range p.service(q.Service).machines {
-		if !p.eligible(s, m) || (q.Advice != nil && !s.advice.good(m)) {
+	for _, m := range p.allowedMachines(s) {
+		if !p.eligible(s, m) {
 			continue
 		}
 		if p.held[m] && expected > shortTask {
@@ -278,12 +299,16 @@
 	r := &run{task: t, machine: m, number: number, token: m.token, ordered: p.now}
 	t.run, t.lastRun = r, number
 	m.reserve(r)
-	ticket, age := t.step.advice.ticket(m, p.now)
+	var ticket string
+	var age time.Duration
+	if x := t.step.advice.find(m); x != nil {
+		ticket, age = x.ticket, p.now-x.issued
+	}
 	e.orders.Starts = append(e.orders.Starts, Start{
-		Machine: m.spec, Token: m.token, Task: t.name(), Run: number, Payload: j.spec.Payload,
+		Machine: m.spec, Token: m.token, Task: t.name, Run: number, Payload: j.spec.Payload,
 		Checkpoint: t.checkpoint, Ticket: ticket,
 	})
-	ev := e.log.Info().Str("event", "task_placed").Str("task", t.name()).Int64("run", number).
+	ev := e.log.Info().Str("event", "task_placed").Str("task", t.name).Int64("run", number).
 		Str("machine", m.spec.ID).Int64("token", m.token).Str("free", m.free().String()).
 		Int64("machine_view_ms", (p.now-m.lookedAt).Milliseconds()).Int64("waited_ms", (p.now - j.arrived).Milliseconds())
 	if ticket != "" {
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -59,8 +59,7 @@
 
 	switch outcome {
 	case RefusedTicket:
-		delete(s.advice.tickets, m.spec.ID)
-		delete(s.advice.asked, m.askKey())
+		s.advice.forget(m)
 	case RefusedSick, RefusedOther, RefusedRoom:
 		m.health.failed(now, s.occ.job.spec.ID)
 		t.avoid = m.spec.ID
@@ -80,11 +79,11 @@
 	}
 	if r.reason == "" {
 		r.reason = why
-		e.log.Info().Str("event", "run_stopping").Str("machine", r.machine.spec.ID).Str("task", r.task.name()).
+		e.log.Info().Str("event", "run_stopping").Str("machine", r.machine.spec.ID).Str("task", r.task.name).
 			Int64("run", r.number).Str("reason", why).Bool("confirmed", r.started != 0).Int("percent", r.percent).Send()
 	}
 	r.state, r.stopSent = runStopping, now
-	e.orders.Stops = append(e.orders.Stops, Stop{r.machine.spec, r.machine.token, r.task.name(), r.number})
+	e.orders.Stops = append(e.orders.Stops, Stop{r.machine.spec, r.machine.token, r.task.name, r.number})
 }
 
 // StopAnswered takes the answer to a stop order into account.
