Name the tasks of a silent machine, and let a restarted leader claim at once

Ruled out: storing each placement before its order, which costs every start an append. Conclusion: only tasks that may run on the silent machine wait.

--- a/cell/orders.go
+++ b/cell/orders.go
@@ -87,6 +87,7 @@
 				l.log.Warn().Str("event", "dependency_lost").Str("dependency", "machine").Str("machine", id).Err(err).Send()
 			}
 			silent = true
+			l.unanswered(id)
 			if errkind.Of(err) == errkind.NotFound {
 				l.replaced(id)
 			}
@@ -155,6 +156,24 @@
 	}
 }
 
+// unanswered tells the engine that a machine did not answer. A leader that does not
+// reach most machines leaves them to another one.
+func (l *lead) unanswered(id string) {
+	l.mu.Lock()
+	l.engine.Unanswered(id)
+	silent, all := l.engine.Silent()
+	others := len(l.peers)
+	l.mu.Unlock()
+	kick(l.flushSoon)
+	if others > 0 && silent*2 > all && l.clock()-l.began > reachGrace {
+		l.d.tenure.GiveUp("this daemon does not reach most machines")
+	}
+}
+
+// reachGrace is how long a new leader has to reach its machines. Those that are
+// down are not more than half, unless it is the leader that is cut off.
+const reachGrace = 2 * time.Second
+
 // replaced tells the engine that another incarnation answers at the address of a machine.
 func (l *lead) replaced(id string) {
 	l.mu.Lock()
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -169,9 +169,13 @@
 	_, _ = h.Write([]byte(t.cfg.Self.Daemon)) // a hash does not fail
 	rank := time.Duration(h.Sum32()%64) * rankSpan / 64
 	p := takeoverAfter
+	former := t.leader.Term != 0 && t.leader.Address == t.cfg.Self.Address && t.leader.Life != t.cfg.Self.Life
 	if t.leader.Left {
 		p = 0
 	}
+	if former {
+		return 0 // the leader was a former process at this daemon's address, which is gone
+	}
 	if left := t.yieldUntil - t.cfg.Clock(); left > 0 {
 		p += left
 	}
--- a/cell/tenure_test.go
+++ b/cell/tenure_test.go
@@ -222,3 +222,21 @@
 	log.mu.Unlock()
 	within(t, "the same leader goes on", time.Second, leader.tenure.Held)
 }
+
+// TestRestartedLeaderClaimsAtOnce guards against waiting for a leader that is known
+// to be gone, since this process has its address.
+func TestRestartedLeaderClaimsAtOnce(t *testing.T) {
+	log := newMemoryLog()
+	first := startCandidate(t, log, "a")
+	within(t, "a leader", 4*time.Second, first.tenure.Held)
+	log.mu.Lock()
+	log.fail = func(bool) (error, bool) { return errkind.New(errkind.LogUnavailable, "down", "down"), false }
+	log.mu.Unlock()
+	first.stop() // without a farewell, as after a loss of power
+	<-first.done
+	log.mu.Lock()
+	log.fail = nil
+	log.mu.Unlock()
+	again := startCandidate(t, log, "a")
+	within(t, "the restarted daemon leads", takeoverAfter/3, again.tenure.Held)
+}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -29,7 +29,7 @@
 		}
 		return
 	}
-	if lo.SomeBy(s.tasks, func(t *task) bool { return t.run != nil }) {
+	if lo.SomeBy(s.tasks, func(t *task) bool { return !t.placeable() }) {
 		return // runs of an earlier attempt still hold room
 	}
 	expected := e.speeds.expected(s.occ.job.queue, s.spec)
@@ -111,7 +111,7 @@
 	cands := p.candidates(s, 0)
 	var missing []*machineState
 	for _, t := range s.tasks {
-		if t.done || t.run != nil {
+		if !t.placeable() {
 			continue
 		}
 		m := p.best(s, t, cands)
--- a/sched/job.go
+++ b/sched/job.go
@@ -61,6 +61,7 @@
 	moves      int     // runs that were stopped because they stood still or were slow
 	avoid      string  // machine on which it failed or stood still last
 	checkpoint string
+	mayRunOn   *machineState // a machine that did not answer the former leader, on which it may still run
 }
 
 // gangState is the current attempt of a gang.
@@ -129,13 +130,18 @@
 // waits reports whether a task of s is neither done nor placed.
 func (s *step) waits() bool {
 	for _, t := range s.tasks {
-		if !t.done && t.run == nil {
+		if t.placeable() {
 			return true
 		}
 	}
 	return false
 }
 
+// placeable reports whether t waits for a machine.
+func (t *task) placeable() bool {
+	return !t.done && t.run == nil && (t.mayRunOn == nil || !t.mayRunOn.foreign)
+}
+
 // objective returns when the callers want the occurrence of s completed.
 func (s *step) objective() time.Duration {
 	j := s.occ.job
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
+	"github.com/samber/lo"
 )
 
 // The prefixes of the keys of records.
@@ -40,6 +41,10 @@
 
 type machineRecord struct {
 	Machine Machine `cbor:"1,keyasint"`
+	// Silent means that the machine did not answer, and that no other tasks than
+	// Tasks can run on it.
+	Silent bool     `cbor:"2,keyasint,omitempty"`
+	Tasks  []string `cbor:"3,keyasint,omitempty"`
 }
 
 // journal collects what has to be stored.
@@ -94,7 +99,11 @@
 		}
 	}
 	for _, m := range j.machines {
-		if err := b.add(machineKey(m.spec.ID), machineRecord{m.spec}); err != nil {
+		rec := machineRecord{Machine: m.spec, Silent: m.named}
+		if m.named {
+			rec.Tasks = lo.Map(m.sortedRuns(), func(r *run, _ int) string { return r.task.name })
+		}
+		if err := b.add(machineKey(m.spec.ID), rec); err != nil {
 			return nil, false, err
 		}
 	}
@@ -133,7 +142,7 @@
 		e.expired = append(e.expired, finalJob{j.spec.ID, now})
 	}
 	for _, m := range b.machines {
-		m.stored = true
+		m.unsaved--
 	}
 	for _, a := range b.acks {
 		if a.m.token == a.token {
@@ -180,6 +189,7 @@
 // before anything else. Records that cannot be read are reported and skipped.
 func (e *Engine) Restore(records []Record, now time.Duration, wall time.Time) {
 	progress := make(map[string][]byte)
+	var silent []machineRecord
 	for _, r := range records {
 		if len(r.Key) < 2 || len(r.Value) == 0 {
 			continue
@@ -192,7 +202,10 @@
 		case prefixProgress:
 			progress[id] = r.Value
 		case prefixMachine:
-			err = e.restoreMachine(r.Value, now)
+			var rec machineRecord
+			if rec, err = e.restoreMachine(r.Value, now); rec.Silent {
+				silent = append(silent, rec)
+			}
 		}
 		if err != nil {
 			e.log.Error().Str("event", "record_unreadable").Str("key", r.Key).Err(err).Send()
@@ -208,6 +221,13 @@
 			e.restoreProgress(j, &rec, now)
 		}
 	}
+	for _, rec := range silent {
+		for _, name := range rec.Tasks {
+			if t := e.findTask(name); t != nil {
+				t.mayRunOn = e.machines[rec.Machine.ID]
+			}
+		}
+	}
 	e.settled = false
 	e.log.Info().Str("event", "state_restored").Int("records", len(records)).Int("live_jobs", len(e.live)).
 		Int("machines", len(e.machines)).Send()
@@ -259,18 +279,18 @@
 	}
 }
 
-func (e *Engine) restoreMachine(data []byte, now time.Duration) error {
+func (e *Engine) restoreMachine(data []byte, now time.Duration) (machineRecord, error) {
 	var rec machineRecord
 	if err := cbor.Unmarshal(data, &rec); err != nil {
-		return errors.Wrap(err, "decode machine")
+		return rec, errors.Wrap(err, "decode machine")
 	}
 	m := &machineState{
 		spec: rec.Machine, token: e.cfg.Token, runs: make(map[runKey]*run), perStep: make(map[*step]int),
-		lookedAt: now, stored: true, recorded: true, foreign: true,
+		lookedAt: now, foreign: true, named: rec.Silent, silent: rec.Silent,
 	}
 	m.clock.maxLease = e.cfg.Lease
 	e.insert(m)
-	return nil
+	return rec, nil
 }
 
 // Machines returns the machines that have to be looked at.
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -14,21 +14,22 @@
 	token     int64
 	used      machine.Resources // held by runs
 	runs      map[runKey]*run
+	perStep   map[*step]int // runs of each step
 	clock     leaseClock
-	listed    bool          // the machine's entry is in the host list
+	health    health
+	pace      float64       // learned run time relative to other machines, 0 if not known
+	listed    bool          // its entry is in the host list
 	looked    bool          // it has answered with its lists under token
 	lookedAt  time.Duration // last answer
+	silent    bool          // the last look was not answered
+	replaced  bool          // another incarnation answers at its address
 	processed int64         // highest number of an end that was taken into account
 	ackable   int64         // highest number whose record is stored
-	stored    bool          // the record of the machine is stored
-	health    health
-	recorded  bool    // its record was handed to the journal
-	pace      float64 // learned run time relative to other machines, 0 if not known
-	replaced  bool    // another incarnation answers at its address
-	foreign   bool    // runs of a former leader may still be on it
-	perStep   map[*step]int
+	unsaved   int           // records of the machine that are not stored yet
 	leavesAt  time.Duration // least time at which a draining machine leaves, 0 if not known
-	strangers int           // runs of unknown size that are being stopped; until they end the machine takes no work
+	strangers int           // runs of unknown size that are being stopped; until they end it takes no work
+	foreign   bool          // runs of former leaders may be on it that are not known
+	named     bool          // its record names all tasks that may run on it
 }
 
 type runKey struct {
@@ -135,8 +136,7 @@
 	}
 	m.clock.maxLease = e.cfg.Lease
 	e.insert(m)
-	e.journal.machines = append(e.journal.machines, m)
-	m.recorded = true
+	e.record(m)
 	return m
 }
 
@@ -199,6 +199,11 @@
 		e.log.Info().Str("event", "machine_in_touch").Str("machine", id).Int64("token", token).
 			Int("running", len(l.Running)).Int("ended", len(l.Ended)).Send()
 	}
+	m.silent = false
+	if m.named {
+		m.named = false
+		e.record(m) // it takes new work once the record no longer names its runs
+	}
 	m.foreign = false
 	m.lookedAt = now
 	m.clock.observe(l.Clock, now)
@@ -505,11 +510,51 @@
 			e.log.Info().Str("event", "machine_forgotten").Str("machine", id).Send()
 		}
 	}
+	if now-e.started > e.horizon() {
+		for _, m := range e.byID {
+			m.foreign = false
+		}
+	}
 	if !e.settled {
 		e.settle(now)
 	}
 }
 
+// record hands the record of a machine to the journal. Until it is stored the
+// machine takes no new work.
+func (e *Engine) record(m *machineState) {
+	m.unsaved++
+	e.journal.machines = append(e.journal.machines, m)
+}
+
+// Unanswered takes into account that a look at a machine was not answered. The
+// machine takes no new work. The tasks that may run on it are recorded, so that
+// the next leader need not hold all others back while it cannot reach the machine.
+func (e *Engine) Unanswered(id string) {
+	m := e.machines[id]
+	if m == nil || m.silent {
+		return
+	}
+	m.silent = true
+	if !m.foreign { // otherwise what runs on it is not known
+		m.named = true
+		e.record(m)
+	}
+}
+
+// Silent returns how many machines do not answer, and how many there are.
+func (e *Engine) Silent() (silent, all int) {
+	for _, m := range e.byID {
+		if m.listed && !m.spec.Draining {
+			all++
+			if m.silent {
+				silent++
+			}
+		}
+	}
+	return silent, all
+}
+
 // horizon is the time after which a lease granted before has surely ended.
 func (e *Engine) horizon() time.Duration {
 	return time.Duration(float64(e.cfg.Lease)*(1+clockDrift)) + settleSlack
@@ -519,15 +564,12 @@
 func (e *Engine) settle(now time.Duration) {
 	if now-e.started <= e.horizon() {
 		for _, m := range e.byID {
-			if m.foreign {
+			if m.foreign && !m.named {
 				return
 			}
 		}
 	}
 	e.settled = true
-	for _, m := range e.byID {
-		m.foreign = false
-	}
 	e.log.Info().Str("event", "runs_settled").Int64("after_ms", (now - e.started).Milliseconds()).Send()
 }
 
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -121,7 +121,7 @@
 	sp = &servicePass{}
 	var suspects []*machineState
 	for _, m := range p.e.byID {
-		if m.spec.Service != name || !m.listed || m.spec.Draining || !m.looked || !m.stored || m.strangers > 0 {
+		if m.spec.Service != name || !m.listed || m.spec.Draining || !m.looked || m.unsaved > 0 || m.silent || m.strangers > 0 {
 			continue
 		}
 		if p.now-m.lookedAt > silentAfter {
@@ -205,7 +205,7 @@
 	var missing []*machineState
 	blocked := false
 	for _, t := range s.tasks {
-		if t.done || t.run != nil {
+		if !t.placeable() {
 			continue
 		}
 		m := p.best(s, t, cands)
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -419,9 +419,18 @@
 				Capacity: machine.Resources{CPUMilli: 8000, MemoryMiB: 16000}},
 		}
 	}
+	w.lapseLoop()
 	return w
 }
 
+// lapseLoop ends the runs of machines whose leases are over.
+func (w *world) lapseLoop() {
+	for _, id := range w.list {
+		w.machines[id].lapse()
+	}
+	w.after(10*time.Millisecond, w.lapseLoop)
+}
+
 // elect starts a new leader from what is stored.
 func (w *world) elect() {
 	w.term++
@@ -532,6 +541,7 @@
 	end, ack, _ := e.LeaseFor(id, w.now)
 	sent := w.now
 	if ok {
+		answered := false
 		w.after(w.latency(), func() {
 			if !w.reachable(m) {
 				return
@@ -540,12 +550,18 @@
 			l.Sent = sent
 			if ok && !w.chance(w.faults.lost) {
 				w.after(w.latency(), func() {
+					answered = true
 					if w.engine == e {
 						e.Observe(id, view.Token, l, w.now)
 					}
 				})
 			}
 		})
+		w.after(600*time.Millisecond, func() {
+			if !answered && w.engine == e {
+				e.Unanswered(id)
+			}
+		})
 	}
 	w.after(w.between(30*time.Millisecond, 300*time.Millisecond), func() { w.lookLoop(e, id) })
 }
@@ -659,14 +675,6 @@
 		w.after(10*time.Millisecond, trouble)
 	}
 	trouble()
-	var lapse func()
-	lapse = func() {
-		for _, id := range w.list {
-			w.machines[id].lapse()
-		}
-		w.after(10*time.Millisecond, lapse)
-	}
-	lapse()
 	var hosts func()
 	hosts = func() {
 		if w.engine != nil {
