Bound the reads of the configuration by the time in which it must be in force

Before: TestConfigurationAfterSilentRead red. After: green. Conclusion: reads of configuration and host list wait 1 s at most.

--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -44,8 +44,10 @@
 	// readyFor is how long after the last answer of the leader a daemon counts as
 	// ready. It is longer than a change of the leader takes.
 	readyFor = 2 * time.Second
-	// configWait is how long one read waits for a new configuration.
-	configWait = 8 * time.Second
+	// configWait is how long one read waits for a new configuration. A read whose
+	// connection has gone silent must end within the time in which a configuration
+	// has to be in force, 2.5 s.
+	configWait = time.Second
 )
 
 // Daemon is one daemon of the cell.
--- a/cell/lead.go
+++ b/cell/lead.go
@@ -23,8 +23,9 @@
 	flushGap = 15 * time.Millisecond
 	// restoreRetry is the wait after the stored state could not be read.
 	restoreRetry = 150 * time.Millisecond
-	// machinesWait is how long one read of the host list waits for news.
-	machinesWait = 3 * time.Second
+	// machinesWait is how long one read of the host list waits for news. A machine
+	// that drains takes no new work 2.5 s later, also if a read has gone silent.
+	machinesWait = time.Second
 	// machinesGather is the pause after news in the host list, where every machine
 	// writes at its own time.
 	machinesGather = 250 * time.Millisecond
