--- a/sched/engine.go
+++ b/sched/engine.go
@@ -238,6 +238,7 @@
 	stopped := 0
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
+			e.releasePlan(s)
 			for _, t := range s.tasks {
 				if t.run != nil && !t.done {
 					e.stop(t.run, "job_ended", now)
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -30,8 +30,12 @@
 		return
 	}
 	if lo.SomeBy(s.tasks, func(t *task) bool { return !t.placeable() }) {
+		e.releasePlan(s)
 		return // runs of an earlier attempt still hold room
 	}
+	if s.gang.plan != nil && !p.ripe(s) {
+		return
+	}
 	expected := e.speeds.expected(s.occ.job.queue, s.spec)
 	plan, whole := p.fitGang(s, p.candidates(s, expected), len(s.tasks))
 	if !whole {
@@ -39,10 +43,9 @@
 		p.wantAdvice(s, nil, true)
 		return
 	}
-	missing := lo.Uniq(lo.Filter(plan, func(m *machineState, _ int) bool { return !s.advice.allows(m, p.now) }))
-	if len(missing) > 0 {
-		p.keep(s, lo.Uniq(plan))
-		p.wantAdvice(s, missing, false)
+	if stale := p.stale(s, lo.Uniq(plan)); len(stale) > 0 {
+		p.reservePlan(s, plan)
+		p.wantAdvice(s, stale, false)
 		return
 	}
 	number := int64(1)
@@ -60,6 +63,51 @@
 	}
 }
 
+// planSlack is how long a gang holds the room of its plan beyond the expected
+// duration of the question for its tickets: the wait for a daemon that is free.
+const planSlack = 1200 * time.Millisecond
+
+// stale returns the machines whose tickets have to be renewed before the gang can
+// start: all that do not outlive a question, if any is missing now.
+func (p *pass) stale(s *step, machines []*machineState) []*machineState {
+	if lo.EveryBy(machines, func(m *machineState) bool { return s.advice.allows(m, p.now) }) {
+		return nil
+	}
+	cost := s.occ.job.queue.Advice.Cost(len(machines)) + planSlack/2
+	return lo.Filter(machines, func(m *machineState, _ int) bool { return !s.advice.allows(m, p.now+cost) })
+}
+
+// reservePlan holds room for all members while their tickets are asked for, so
+// that the gang finds it when the answer is there.
+func (p *pass) reservePlan(s *step, plan []*machineState) {
+	s.gang.plan, s.gang.planUntil = plan, p.now+s.occ.job.queue.Advice.Cost(len(plan))+planSlack
+	for _, m := range plan {
+		m.used = m.used.Add(s.spec.holds())
+	}
+}
+
+// releasePlan frees the room that is held for a gang.
+func (e *Engine) releasePlan(s *step) {
+	for _, m := range s.gang.plan {
+		m.used = m.used.Sub(s.spec.holds())
+	}
+	s.gang.plan = nil
+}
+
+// ripe reports whether the plan of a gang is settled: either its tickets are there
+// and the gang can start, or it was given up. Its room is free then.
+func (p *pass) ripe(s *step) bool {
+	sp := p.service(s.occ.job.queue.Service)
+	sound := lo.EveryBy(s.gang.plan, func(m *machineState) bool { return sp.usable[m] })
+	allowed := lo.EveryBy(s.gang.plan, func(m *machineState) bool { return s.advice.allows(m, p.now) })
+	asking := s.advice.inFlight || len(s.advice.want) > 0
+	if sound && !allowed && asking && p.now < s.gang.planUntil {
+		return false
+	}
+	p.e.releasePlan(s)
+	return true
+}
+
 // gangCheckpoint returns one checkpoint for all members: that of the first that has one.
 func gangCheckpoint(s *step) string {
 	for _, t := range s.tasks {
@@ -86,7 +134,7 @@
 	return fill(s, cands, n)
 }
 
-// fill takes slots of the candidates in order, those with valid tickets first.
+// fill takes slots of the candidates in order.
 func fill(s *step, cands []candidate, n int) ([]*machineState, bool) {
 	var plan []*machineState
 	for _, c := range cands {
--- a/sched/job.go
+++ b/sched/job.go
@@ -70,6 +70,10 @@
 	began    time.Duration
 	aborting bool          // the members are being stopped
 	since    time.Duration // when aborting began
+	// plan holds room on these machines, one entry a member, until planUntil, while
+	// tickets are asked for.
+	plan      []*machineState
+	planUntil time.Duration
 }
 
 func newJob(spec Job, q *Queue) *job {
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -80,11 +80,13 @@
 	}
 }
 
-// holds returns the room that the run takes. Processors of a filler step are
+func (r *run) holds() machine.Resources { return r.task.step.spec.holds() }
+
+// holds returns the room that one task takes. Processors of a filler step are
 // those that others leave idle.
-func (r *run) holds() machine.Resources {
-	need := r.task.step.spec.Need
-	if r.task.step.spec.Filler {
+func (s *Step) holds() machine.Resources {
+	need := s.Need
+	if s.Filler {
 		need.CPUMilli = 0
 	}
 	return need
