--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -25,20 +25,20 @@
 func NewMetrics() *Metrics {
 	m := &Metrics{
 		Registry: prometheus.NewRegistry(),
-		Requests: counter("cell_requests_total", "Requests of callers.", "call", "status"),
-		Refusals: counter("cell_refusals_total", "Requests that were refused, by reason.", "reason"),
-		Starts:   counter("cell_start_orders_total", "Start orders, by outcome.", "outcome"),
-		Retries:  counter("cell_retries_total", "Repeated calls, by what was repeated.", "what"),
-		Appends:  counter("cell_log_appends_total", "Appends of job state, by outcome.", "outcome"),
-		Advice:   counter("cell_advice_total", "Questions to the advisor, by outcome.", "outcome"),
+		Requests: counter("sassafraslb_cell_requests_total", "Requests of callers.", "call", "status"),
+		Refusals: counter("sassafraslb_cell_refusals_total", "Requests that were refused, by reason.", "reason"),
+		Starts:   counter("sassafraslb_cell_start_orders_total", "Start orders, by outcome.", "outcome"),
+		Retries:  counter("sassafraslb_cell_retries_total", "Repeated calls, by what was repeated.", "what"),
+		Appends:  counter("sassafraslb_cell_log_appends_total", "Appends of job state, by outcome.", "outcome"),
+		Advice:   counter("sassafraslb_cell_advice_total", "Questions to the advisor, by outcome.", "outcome"),
 		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "cell_request_seconds", Help: "Time to answer a request of a caller.", Buckets: latencyBuckets,
+			Name: "sassafraslb_cell_request_seconds", Help: "Time to answer a request of a caller.", Buckets: latencyBuckets,
 		}, []string{"call"}),
-		StartTime: histogram("cell_start_order_seconds", "Time from a start order to its answer."),
-		Store:     histogram("cell_log_append_seconds", "Time of an append of job state."),
-		Live:      gauge("cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
-		Waiting:   gauge("cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
-		Leading:   gauge("cell_leading", "1 while this daemon leads the cell."),
+		StartTime: histogram("sassafraslb_cell_start_order_seconds", "Time from a start order to its answer."),
+		Store:     histogram("sassafraslb_cell_log_append_seconds", "Time of an append of job state."),
+		Live:      gauge("sassafraslb_cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
+		Waiting:   gauge("sassafraslb_cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
+		Leading:   gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
 	}
 	m.Registry.MustRegister(m.Requests, m.Refusals, m.Starts, m.Retries, m.Appends, m.Advice, m.Latency, m.StartTime,
 		m.Store, m.Live, m.Waiting, m.Leading)
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -16,9 +16,9 @@
 	problemForm  = regexp.MustCompile(`Problem\{"([a-z_]+)"`)
 )
 
-// Guards against a log event that docs/operations.md does not explain, or that it puts in the wrong field.
+// Guards against a log event that docs/OPERATIONS.md does not explain, or that it puts in the wrong field.
 func TestPageListsEvents(t *testing.T) {
-	page := readPage(t, "operations.md")
+	page := readPage(t, "OPERATIONS.md")
 	_, table, _ := strings.Cut(page, "## Log events")
 	found := 0
 	for _, pattern := range []string{"../*/*.go", "../cmd/sassafraslbd/*.go"} {
@@ -53,9 +53,9 @@
 	}
 }
 
-// Guards against a problem that doctor reports and docs/operations.md does not explain.
+// Guards against a problem that doctor reports and docs/OPERATIONS.md does not explain.
 func TestPageListsProblems(t *testing.T) {
-	page := readPage(t, "operations.md")
+	page := readPage(t, "OPERATIONS.md")
 	code, err := os.ReadFile("health.go")
 	if err != nil {
 		t.Fatal(err)
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -27,6 +27,8 @@
 	ackable   int64         // highest number whose record is stored
 	unsaved   int           // records of the machine that are not stored yet
 	leavesAt  time.Duration // least time at which a draining machine leaves, 0 if not known
+	serving   int           // runs with a latency target
+	filling   int           // runs of filler steps
 	strangers int           // runs of unknown size that are being stopped; until they end it takes no work
 	foreign   bool          // runs of former leaders may be on it that are not known
 	named     bool          // its record names all tasks that may run on it
@@ -70,6 +72,17 @@
 	m.used = m.used.Add(r.holds())
 	m.runs[runKey{r.task.name, r.number}] = r
 	m.perStep[r.task.step]++
+	m.count(r.task.step.spec, 1)
+}
+
+// count adds n to the numbers of serving and filling runs if s is of that sort.
+func (m *machineState) count(s *Step, n int) {
+	if s.LatencyTarget > 0 {
+		m.serving += n
+	}
+	if s.Filler {
+		m.filling += n
+	}
 }
 
 func (m *machineState) release(r *run) {
@@ -78,6 +91,7 @@
 	if m.perStep[r.task.step]--; m.perStep[r.task.step] == 0 {
 		delete(m.perStep, r.task.step)
 	}
+	m.count(r.task.step.spec, -1)
 }
 
 func (r *run) holds() machine.Resources { return r.task.step.spec.holds() }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -171,6 +171,10 @@
 	if s.spec.Label != "" && !slices.Contains(m.spec.Labels, s.spec.Label) {
 		return false
 	}
+	// Filling work slows down tasks that serve users, by amounts that are not known.
+	if (s.spec.Filler && m.serving > 0) || (s.spec.LatencyTarget > 0 && m.filling > 0) {
+		return false
+	}
 	return s.spec.Need.Fits(m.spec.Capacity)
 }
 
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -60,9 +60,11 @@
 	switch outcome {
 	case RefusedTicket:
 		s.advice.forget(m)
-	case RefusedSick, RefusedOther, RefusedRoom:
+	case RefusedSick, RefusedOther:
 		m.health.failed(now, s.occ.job.spec.ID)
 		t.avoid = m.spec.ID
+	case RefusedRoom:
+		t.avoid = m.spec.ID
 	}
 	if !s.spec.Gang {
 		s.notBefore = now + refusedPause
