--- /dev/null
+++ b/cell/retry.go
@@ -0,0 +1,48 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/sched"
+)
+
+const (
+	// retryMin and retryMax bound the wait that callers are told, in seconds. Most
+	// changes of the leader are over after one; callers give up after a few tries, so
+	// a longer wait carries them over a longer outage.
+	retryMin, retryMax = 1, 3
+	// retryFull is the wait while the backlog is full, in seconds.
+	retryFull = 2
+	// retryShare is the part of a job's objective that a wait may take. Several
+	// tries fit into the objective, and quick jobs come back first.
+	retryShare = 5
+)
+
+// RetryAfter returns when the caller of a refused job should come back, in whole
+// seconds. Jobs with a long objective wait longer: they lose nothing, and come back
+// after the quick ones when an outage is over.
+func RetryAfter(err error, objective time.Duration) int {
+	if errkind.Of(err) == errkind.Overloaded {
+		return retryFull
+	}
+	if errkind.ReasonOf(err) != reasonTenureOver {
+		return retryMin
+	}
+	return min(max(int(objective/retryShare/time.Second), retryMin), retryMax)
+}
+
+// Objective returns the time in which callers want a job completed.
+func Objective(job *sched.Job, q *sched.Queue) time.Duration {
+	chain := make([]time.Duration, len(job.Steps))
+	var longest time.Duration
+	for i := range job.Steps {
+		s := &job.Steps[i]
+		for _, d := range s.DependsOn {
+			chain[i] = max(chain[i], chain[d])
+		}
+		chain[i] += s.Estimate
+		longest = max(longest, chain[i])
+	}
+	return q.Target + time.Duration(q.Stretch*float64(longest))
+}
