Judge slow runs by their siblings and their machine, not by declared run times

Ruled out: waste as the main gain: core-seconds thrown away stay at about 800, from cancelled and failed jobs.

--- a/sched/job.go
+++ b/sched/job.go
@@ -57,9 +57,10 @@
 	run        *run // the current run, nil if none holds room
 	lastRun    int64
 	done       bool
-	failed     []int64 // numbers of the runs that failed
-	moves      int     // runs that were stopped because they stood still or were slow
-	avoid      string  // machine on which it failed or stood still last
+	took       time.Duration // run time once done, 0 if this leader has not seen it run
+	failed     []int64       // numbers of the runs that failed
+	moves      int           // runs that were stopped because they stood still or were slow
+	avoid      string        // machine on which it failed or stood still last
 	checkpoint string
 	mayRunOn   *machineState // a machine that did not answer the former leader, on which it may still run
 }
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -18,6 +18,7 @@
 	clock     leaseClock
 	health    health
 	pace      float64       // learned run time relative to other machines, 0 if not known
+	slowness  float64       // how much longer its present runs take than usual, 0 if not known
 	listed    bool          // its entry is in the host list
 	looked    bool          // it has answered with its lists under token
 	lookedAt  time.Duration // last answer
@@ -337,7 +338,8 @@
 		Str("how", string(end.Kind)).Int64("number", end.Number).Bool("known", r != nil).Send()
 	if r != nil {
 		if end.Kind == EndDone && r.started != 0 {
-			e.speeds.learn(t.step, m, now-r.started)
+			t.took = now - r.started
+			e.speeds.learn(t.step, m, t.took)
 		}
 		e.dropRun(r)
 	}
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 )
 
@@ -10,9 +11,12 @@
 	// stallAfter is how long a run may make no progress before it counts as stuck.
 	// Looks at a machine are at most 2 s apart.
 	stallAfter = 1800 * time.Millisecond
-	// slowFactor is how much longer the rest of a run must take than a new run
-	// elsewhere before it is moved.
-	slowFactor = 1.6
+	// slowFactor is how much longer a run must take than its siblings, or all runs of
+	// a machine than usual, to count as slow. Tasks of a step differ by less.
+	slowFactor = 2.5
+	// minSiblings is the number of siblings, and minGauge of steps on a machine, that
+	// such a comparison needs.
+	minSiblings, minGauge = 2, 3
 	// slowSlack is added to the time of a new run: the way through the queue.
 	slowSlack = 700 * time.Millisecond
 	// minProgress is the age from which the progress of a run says how long it takes.
@@ -125,6 +129,7 @@
 	}
 	e.watched = now
 	for _, m := range e.byID {
+		e.gauge(m)
 		for _, r := range m.sortedRuns() {
 			s := r.task.step
 			switch {
@@ -183,22 +188,85 @@
 	if gangTogether && r.percent < 100 && r.seenAt-r.movedAt > stallAfter {
 		return "stuck"
 	}
-	age := r.seenAt - r.started
-	if age < minProgress || r.percent <= 0 || r.percent >= 100 || s.spec.Gang {
+	total, ok := r.projected()
+	if !ok || s.spec.Gang {
+		return ""
+	}
+	// Declared run times are too far off to judge a single run by them.
+	var again time.Duration
+	if sibling, n := siblings(r); n >= minSiblings && float64(total) > slowFactor*float64(sibling) {
+		again = sibling
+	} else if r.machine.slowness > slowFactor {
+		again = time.Duration(float64(total) / r.machine.slowness)
+	} else {
 		return ""
 	}
-	total := age * 100 / time.Duration(r.percent)
-	rest := total - age - (now - r.seenAt)
-	again := e.speeds.expected(s.occ.job.queue, s.spec)
+	rest := total*time.Duration(100-r.percent)/100 - (now - r.seenAt)
 	if s.spec.SavesProgress && r.checkpoint != "" {
 		again = again * time.Duration(100-r.percent) / 100
 	}
-	if rest > time.Duration(slowFactor*float64(again))+slowSlack && total > 2*again {
+	if rest > again+again/4+slowSlack {
 		return "slow"
 	}
 	return ""
 }
 
+// projected returns the run time of r by its progress so far, if that is known.
+func (r *run) projected() (time.Duration, bool) {
+	age := r.seenAt - r.started
+	if r.started == 0 || age < minProgress || r.percent <= 0 || r.percent >= 100 {
+		return 0, false
+	}
+	return age * 100 / time.Duration(r.percent), true
+}
+
+// siblings returns the median run time of the other tasks of the step on other
+// machines, done or projected, and how many there are.
+func siblings(r *run) (time.Duration, int) {
+	var times []time.Duration
+	for _, t := range r.task.step.tasks {
+		if t == r.task {
+			continue
+		}
+		if t.took > 0 {
+			times = append(times, t.took)
+		} else if t.run != nil && t.run.machine != r.machine {
+			if d, ok := t.run.projected(); ok {
+				times = append(times, d)
+			}
+		}
+	}
+	if len(times) == 0 {
+		return 0, 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2], len(times)
+}
+
+// gauge compares the runs on m with what their queues usually take: the median
+// over all its runs tells a slow machine from a task that was declared too short.
+func (e *Engine) gauge(m *machineState) {
+	var ratios []float64
+	var last *step // runs are sorted by task; tasks of one step share a wrong estimate
+	for _, r := range m.sortedRuns() {
+		s := r.task.step
+		if s == last {
+			continue
+		}
+		last = s
+		if total, ok := r.projected(); ok && !s.spec.Persistent {
+			if usual := e.speeds.expected(s.occ.job.queue, s.spec); usual > 0 {
+				ratios = append(ratios, float64(total)/float64(usual))
+			}
+		}
+	}
+	m.slowness = 0
+	if len(ratios) >= minGauge {
+		slices.Sort(ratios)
+		m.slowness = ratios[len(ratios)/2]
+	}
+}
+
 // move stops a run so that its task is placed elsewhere.
 func (e *Engine) move(r *run, why string, now time.Duration) {
 	r.task.moves++
