--- a/sched/gang.go
+++ b/sched/gang.go
@@ -162,9 +162,9 @@
 		if !t.placeable() {
 			continue
 		}
-		m := p.best(s, t, cands)
-		if m == nil {
-			return
+		m := p.best(t, cands)
+		if m == nil || m.spec.ID == t.avoid {
+			return // a machine that has closed this number refuses it
 		}
 		if !s.advice.allows(m, p.now) {
 			missing = append(missing, m)
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -428,7 +428,7 @@
 	if r.task.run == r {
 		r.task.run = nil
 	}
-	if r.reason == "stuck" || r.reason == "slow" {
+	if r.reason == "stuck" || r.reason == "slow" || r.reason == reasonUnanswered {
 		r.task.avoid = r.machine.spec.ID
 	}
 	s := r.task.step
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -212,7 +212,7 @@
 		if !t.placeable() {
 			continue
 		}
-		m := p.best(s, t, cands)
+		m := p.best(t, cands)
 		if m == nil {
 			blocked = true
 			break
@@ -276,7 +276,8 @@
 }
 
 // best returns the first candidate with room that t may use, and takes one slot.
-func (p *pass) best(s *step, t *task, cands []candidate) *machineState {
+// The machine that t avoids is the last choice.
+func (p *pass) best(t *task, cands []candidate) *machineState {
 	for _, strict := range []bool{true, false} {
 		for i := range cands {
 			c := &cands[i]
--- a/sched/plan_test.go
+++ b/sched/plan_test.go
@@ -267,3 +267,47 @@
 		t.Errorf("the end is acknowledged up to %d, want 1", ack)
 	}
 }
+
+// TestGangMemberGoesElsewhere guards against a gang that is started again as a
+// whole because a member is sent to a machine that has closed its number.
+func TestGangMemberGoesElsewhere(t *testing.T) {
+	b := newBench(t, plainQueue, worker("m1"), worker("m2"), worker("m3"))
+	s := small(4)
+	s.Gang = true
+	id := b.submit(s)
+	b.now += 10 * time.Millisecond
+	var lost Start
+	for _, o := range b.e.Plan(b.now).Starts {
+		if o.Task == id+".0.0.0" {
+			lost = o
+			b.e.StartAnswered(o, Unanswered, b.now)
+			continue
+		}
+		b.e.StartAnswered(o, Started, b.now)
+	}
+	var closed Stop
+	for _, o := range b.e.Plan(b.now).Stops {
+		closed = o
+	}
+	if closed.Task != lost.Task || closed.Run != lost.Run {
+		t.Fatalf("stopped %+v, want the start without an answer", closed)
+	}
+	b.now += 20 * time.Millisecond
+	b.e.StopAnswered(closed, true, b.now)
+	b.now += 20 * time.Millisecond
+	var present []RunReport
+	for i := 1; i < 4; i++ {
+		r := b.e.findTask(fmt.Sprintf("%s.0.0.%d", id, i)).run
+		if r.machine.spec.ID == lost.Machine.ID {
+			present = append(present, RunReport{Task: r.task.name, Run: r.number})
+		}
+	}
+	b.look(lost.Machine.ID, present, nil)
+	again := b.plan()
+	if at := again[lost.Task]; at == "" || at == lost.Machine.ID {
+		t.Errorf("the member went to %q; %s has closed its number", at, lost.Machine.ID)
+	}
+	if r := b.e.findTask(lost.Task).run; r == nil || r.number != lost.Run {
+		t.Error("the member does not carry the number of its gang")
+	}
+}
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -25,6 +25,9 @@
 	maxMoves = 2
 )
 
+// reasonUnanswered is the reason of a stop that closes a start without an answer.
+const reasonUnanswered = "start_unanswered"
+
 // StartAnswered takes the answer to a start order into account.
 func (e *Engine) StartAnswered(o Start, outcome StartOutcome, now time.Duration) {
 	m := e.machines[o.Machine.ID]
@@ -46,7 +49,7 @@
 	case Unanswered:
 		if r.state == runOrdered {
 			r.state = runDoubtful
-			e.stop(r, "start_unanswered", now)
+			e.stop(r, reasonUnanswered, now)
 		}
 	default:
 		if r.started != 0 {
