--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -23,7 +23,8 @@
 type Settings struct {
 	Name      string // of the host
 	IP        string
-	Port      int // for calls between daemons
+	Port      int     // for calls between daemons
+	Cores     float64 // processor capacity, 0 if not known
 	Log       Log
 	Workers   Workers
 	Advisor   Advisor // nil if no queue has an advisor
@@ -85,8 +86,8 @@
 		}
 	}
 	d.tenure = NewTenure(TenureConfig{
-		Self: Leader{Daemon: set.Name, Life: time.Now().UnixNano(), Address: joinPort(set.IP, set.Port)},
-		Log:  d.route, Clock: set.Clock, Lead: d.runLead, Logger: set.Logger,
+		Self:  Leader{Daemon: set.Name, Life: time.Now().UnixNano(), Address: joinPort(set.IP, set.Port)},
+		Cores: set.Cores, Log: d.route, Clock: set.Clock, Lead: d.runLead, Logger: set.Logger,
 	})
 	return d
 }
@@ -210,7 +211,7 @@
 		}
 		limited, cancel := context.WithTimeout(ctx, helloTimeout)
 		out, err := d.peers.call(limited, l.Address, rpcHello, &call{
-			Daemon: d.set.Name, Address: joinPort(d.set.IP, d.set.Port), Reach: d.route.reaches(),
+			Daemon: d.set.Name, Address: joinPort(d.set.IP, d.set.Port), Reach: d.route.reaches(), Cores: d.set.Cores,
 		})
 		cancel()
 		if err != nil {
--- a/cell/lead.go
+++ b/cell/lead.go
@@ -62,6 +62,7 @@
 	name  string
 	seen  time.Duration
 	reach bool // it reaches the log
+	cores float64
 }
 
 // runLead leads the cell until ctx ends.
@@ -230,7 +231,7 @@
 		l.peers[c.Address] = p
 		l.log.Info().Str("event", "daemon_joined").Str("daemon", c.Daemon).Str("address", c.Address).Send()
 	}
-	p.seen, p.reach = now, c.Reach
+	p.seen, p.reach, p.cores = now, c.Reach, c.Cores
 	out := &reply{Pending: l.engine.Pending()}
 	if l.d.route.reaches() {
 		out.Peers = append(out.Peers, l.d.tenure.cfg.Self.Address)
@@ -258,8 +259,23 @@
 		}
 	}
 	l.d.route.setRelays(relays)
+	strongest, able := 0.0, 0.0
+	for _, p := range l.peers {
+		strongest = max(strongest, p.cores)
+		if p.reach {
+			able = max(able, p.cores)
+		}
+	}
+	l.d.tenure.SetStrongest(strongest)
+	if l.d.set.Cores < weakShare*able && now-l.began > strengthGrace {
+		l.d.tenure.GiveUp("a much stronger daemon can lead")
+	}
 }
 
+// strengthGrace is how long a weak daemon leads before it hands over to a stronger
+// one, so that a cell in trouble has a leader for some time.
+const strengthGrace = time.Second
+
 // plan runs the engine's passes and hands the orders out.
 func (l *lead) plan(ctx context.Context, group *sync.WaitGroup) {
 	slow := 0
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -29,6 +29,10 @@
 	// distanceFactor delays claims of daemons that are far from the log, by their
 	// round trip times this factor.
 	distanceFactor = 12
+	// weakShare is the share of the strongest daemon's capacity below which a daemon
+	// delays its claim by weakDelay. It then leads only if no stronger one claims.
+	weakShare = 0.7
+	weakDelay = 700 * time.Millisecond
 	// yieldFor is how long a daemon that has given leadership up leaves it to others.
 	yieldFor = 6 * time.Second
 	// logTimeout bounds a call to the log, beyond the time that it may wait.
@@ -45,11 +49,14 @@
 	Term    int64  `cbor:"4,keyasint"`           // rises with each leader
 	Left    bool   `cbor:"5,keyasint,omitempty"` // it has given leadership up
 	Beat    int64  `cbor:"6,keyasint,omitempty"` // heartbeat of the term; the claim is 0
+	// Strongest is the processor capacity of the strongest daemon that the leader
+	// knows, in cores. Much weaker ones leave leadership to others.
+	Strongest float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // same reports whether two entries come from the same leader in the same state.
 func (l Leader) same(o Leader) bool {
-	l.Beat = o.Beat
+	l.Beat, l.Strongest = o.Beat, o.Strongest
 	return l == o
 }
 
@@ -58,7 +65,8 @@
 
 // TenureConfig configures a Tenure.
 type TenureConfig struct {
-	Self  Leader // without Term
+	Self  Leader  // without Term
+	Cores float64 // processor capacity of this daemon, 0 if not known
 	Log   Log
 	Clock Clock
 	// Lead runs while this daemon leads. It must return soon after ctx ends.
@@ -176,12 +184,26 @@
 	if former {
 		return 0 // the leader was a former process at this daemon's address, which is gone
 	}
+	if t.weak() {
+		p += weakDelay
+	}
 	if left := t.yieldUntil - t.cfg.Clock(); left > 0 {
 		p += left
 	}
 	return p + rank + t.distance*distanceFactor
 }
 
+// weak reports whether a much stronger daemon is known; t.mu must be held.
+func (t *Tenure) weak() bool { return t.cfg.Cores < weakShare*t.leader.Strongest }
+
+// SetStrongest tells the followers, with the next heartbeat, how strong the
+// strongest daemon is that this leader knows.
+func (t *Tenure) SetStrongest(cores float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leader.Strongest = max(cores, t.cfg.Cores)
+}
+
 // read reads the tenure stream and measures how far away the log is.
 func (t *Tenure) read(ctx context.Context, from int64, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+logTimeout)
@@ -233,6 +255,7 @@
 	if !l.same(t.leader) {
 		t.setLeader(l)
 	}
+	t.leader.Strongest = l.Strongest
 	return true
 }
 
@@ -334,7 +357,7 @@
 		return
 	}
 	l.Left = true
-	l.Beat++
+	l.Beat++ // Strongest goes with the farewell
 	late, stop := context.WithTimeout(context.WithoutCancel(ctx), 2*logTimeout)
 	defer stop()
 	if !t.settleAppend(late, l, at) {
@@ -353,6 +376,9 @@
 	at = l.Term // the claim is at offset Term-1
 	for pause.For(ctx, heartbeatEvery) {
 		l.Beat++
+		t.mu.Lock()
+		l.Strongest = t.leader.Strongest
+		t.mu.Unlock()
 		sent := t.cfg.Clock()
 		err := t.append(ctx, *l, at)
 		if errkind.Of(err) == errkind.Conflict && err != nil {
--- a/cell/tenure_test.go
+++ b/cell/tenure_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 )
@@ -84,13 +85,13 @@
 	shift   atomic.Int64 // added to its clock, ns
 }
 
-func startCandidate(t *testing.T, log Log, name string) *candidate {
+func startCandidate(t *testing.T, log Log, name string, cores ...float64) *candidate {
 	c := &candidate{done: make(chan struct{})}
 	began := time.Now()
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	c.tenure = NewTenure(TenureConfig{
-		Self: Leader{Daemon: name, Life: time.Now().UnixNano(), Address: name}, Log: log, Logger: zerolog.Nop(),
+		Self: Leader{Daemon: name, Life: time.Now().UnixNano(), Address: name}, Log: log, Logger: zerolog.Nop(), Cores: lo.Sum(cores),
 		Clock: func() time.Duration { return time.Since(began) + time.Duration(c.shift.Load()) + time.Second },
 		Lead: func(ctx context.Context, _ int64) {
 			c.leading.Store(true)
@@ -240,3 +241,29 @@
 	again := startCandidate(t, log, "a")
 	within(t, "the restarted daemon leads", takeoverAfter/3, again.tenure.Held)
 }
+
+// TestStrongDaemonSucceeds guards against a leader on a small host, which cannot
+// carry the load, while a strong one is there.
+func TestStrongDaemonSucceeds(t *testing.T) {
+	log := newMemoryLog()
+	first := startCandidate(t, log, "first", 0.8)
+	within(t, "a leader", 4*time.Second, first.tenure.Held)
+	first.tenure.SetStrongest(0.8)
+	weak := []*candidate{startCandidate(t, log, "a", 0.2), startCandidate(t, log, "b", 0.2), startCandidate(t, log, "c", 0.2)}
+	strong := startCandidate(t, log, "z", 0.8)
+	time.Sleep(3 * heartbeatEvery)
+	first.tenure.GiveUp("test")
+	within(t, "another leader", 4*time.Second, func() bool {
+		n, _ := holders(append(weak, strong))
+		return n > 0
+	})
+	if !strong.tenure.Held() {
+		t.Error("a weak daemon leads although a strong one is there")
+	}
+	strong.stop()
+	<-strong.done
+	within(t, "a weak daemon leads when no strong one is left", 4*time.Second, func() bool {
+		n, _ := holders(weak)
+		return n == 1
+	})
+}
--- a/cell/wire.go
+++ b/cell/wire.go
@@ -28,15 +28,15 @@
 
 // call is a request between daemons; each call uses the fields that it needs.
 type call struct {
-	Job      *sched.Job    `cbor:"1,keyasint,omitempty"`
-	ID       string        `cbor:"2,keyasint,omitempty"` // of a job
-	Daemon   string        `cbor:"3,keyasint,omitempty"`
-	Address  string        `cbor:"4,keyasint,omitempty"`
-	Step     string        `cbor:"5,keyasint,omitempty"`
-	Machines []string      `cbor:"6,keyasint,omitempty"`
-	Log      *logCall      `cbor:"7,keyasint,omitempty"`
-	Reach    bool          `cbor:"8,keyasint,omitempty"` // the caller reaches the log
-	Wait     time.Duration `cbor:"9,keyasint,omitempty"`
+	Job      *sched.Job `cbor:"1,keyasint,omitempty"`
+	ID       string     `cbor:"2,keyasint,omitempty"` // of a job
+	Daemon   string     `cbor:"3,keyasint,omitempty"`
+	Address  string     `cbor:"4,keyasint,omitempty"`
+	Step     string     `cbor:"5,keyasint,omitempty"`
+	Machines []string   `cbor:"6,keyasint,omitempty"`
+	Log      *logCall   `cbor:"7,keyasint,omitempty"`
+	Reach    bool       `cbor:"8,keyasint,omitempty"` // the caller reaches the log
+	Cores    float64    `cbor:"9,keyasint,omitempty"` // processor capacity of the caller
 }
 
 // logCall is a call to the log that a daemon makes for another one.
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -530,6 +530,10 @@
 	}
 	if now-e.started > e.horizon() {
 		for _, m := range e.byID {
+			if m.foreign && m.silent && !m.named {
+				m.named = true // nothing of former leaders runs on it any more
+				e.record(m)
+			}
 			m.foreign = false
 		}
 	}
