--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -141,7 +141,7 @@
 // watchConfig follows the configuration.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	w := &watcher{
-		log: d.route, clock: d.clock, stream: StreamConfig, longest: configWait, logger: d.log,
+		log: d.route, stream: StreamConfig, longest: configWait, logger: d.log,
 		reset: func() {}, done: func() {}, apply: d.applyConfig,
 	}
 	w.run(ctx)
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -29,11 +29,6 @@
 	tendEvery = 100 * time.Millisecond
 )
 
-// tending is the goroutine that looks at one machine.
-type tending struct {
-	cancel context.CancelFunc
-}
-
 // tend keeps one goroutine for each machine of the engine.
 func (l *lead) tend(ctx context.Context, group *sync.WaitGroup) {
 	group.Go(func() {
@@ -55,13 +50,13 @@
 		known[id] = true
 		if l.tended[id] == nil {
 			own, cancel := context.WithCancel(ctx)
-			l.tended[id] = &tending{cancel}
+			l.tended[id] = cancel
 			group.Go(func() { l.look(own, id) })
 		}
 	}
-	for id, t := range l.tended {
+	for id, cancel := range l.tended {
 		if !known[id] {
-			t.cancel()
+			cancel()
 			delete(l.tended, id)
 		}
 	}
@@ -101,7 +96,7 @@
 func (l *lead) lookOnce(ctx context.Context, id string, wait time.Duration) error {
 	l.mu.Lock()
 	view, ok := l.engine.Machine(id)
-	end, ack, _ := l.engine.LeaseFor(id, l.clock())
+	end, ack := l.engine.LeaseFor(id, l.clock())
 	l.mu.Unlock()
 	if !ok {
 		return errkind.New(errkind.Unreachable, "machine_unknown", "machine %s is not known", id)
@@ -185,7 +180,7 @@
 // start sends a start order.
 func (l *lead) start(ctx context.Context, o sched.Start) {
 	l.mu.Lock()
-	end, _, _ := l.engine.LeaseFor(o.Machine.ID, l.clock())
+	end, _ := l.engine.LeaseFor(o.Machine.ID, l.clock())
 	l.mu.Unlock()
 	outcome := sched.NotSent
 	var err error
--- a/cell/ports.go
+++ b/cell/ports.go
@@ -86,8 +86,6 @@
 	Version int64
 	Routes  []Route
 	Limits  Limits
-	// Guarded holds the services whose machines refuse what does not fit.
-	Guarded map[string]bool
 }
 
 // Route leads callers to a queue.
--- a/cell/watch.go
+++ b/cell/watch.go
@@ -13,7 +13,6 @@
 // watcher follows the newest entries of a keyed stream.
 type watcher struct {
 	log    Log
-	clock  Clock
 	stream Stream
 	// longest is how long one read waits for news.
 	longest time.Duration
--- a/sched/plan_test.go
+++ b/sched/plan_test.go
@@ -253,7 +253,7 @@
 	id := b.submit(small(1))
 	b.plan()
 	b.look("m1", nil, []EndReport{{Number: 1, Task: id + ".0.0.0", Run: 1, Kind: EndDone}})
-	if _, ack, _ := b.e.LeaseFor("m1", b.now); ack != 0 {
+	if _, ack := b.e.LeaseFor("m1", b.now); ack != 0 {
 		t.Errorf("the end is acknowledged up to %d before it is stored", ack)
 	}
 	if state, _ := b.e.State(id); state != Running {
@@ -263,7 +263,7 @@
 	if state, _ := b.e.State(id); state != Completed {
 		t.Errorf("the job is %s", state)
 	}
-	if _, ack, _ := b.e.LeaseFor("m1", b.now); ack != 1 {
+	if _, ack := b.e.LeaseFor("m1", b.now); ack != 1 {
 		t.Errorf("the end is acknowledged up to %d, want 1", ack)
 	}
 }
--- a/sched/types.go
+++ b/sched/types.go
@@ -75,7 +75,6 @@
 	Draining bool
 	// Remaining is the least time until a draining machine leaves, 0 if not known.
 	Remaining time.Duration
-	Guards    bool // refuses what does not fit
 }
 
 // JobState is the state of a job as callers see it.
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -500,7 +500,7 @@
 
 func (w *world) sendStart(e *Engine, o Start) {
 	m := w.machines[o.Machine.ID]
-	end, _, _ := e.LeaseFor(o.Machine.ID, w.now)
+	end, _ := e.LeaseFor(o.Machine.ID, w.now)
 	answered := false
 	var outcome StartOutcome
 	w.deliver(m, func() bool {
@@ -538,7 +538,7 @@
 	}
 	m := w.machines[id]
 	view, ok := e.Machine(id)
-	end, ack, _ := e.LeaseFor(id, w.now)
+	end, ack := e.LeaseFor(id, w.now)
 	sent := w.now
 	if ok {
 		answered := false
