--- a/cmd/sassafraslb-cell/main.go
+++ b/cmd/sassafraslb-cell/main.go
@@ -16,6 +16,9 @@
 	"github.com/sassafraslb/sassafraslb/platform"
 )
 
+// gcPercent trades processor time for memory, which is small but held by every host.
+const gcPercent = 50
+
 // memoryShare is the part of the memory limit that the heap and the runtime may
 // use; the rest is for the C library and the kernel's buffers.
 const memoryShare = 0.7
@@ -50,6 +53,7 @@
 		return 1
 	}
 	if set.MemoryBytes > 0 {
+		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
