--- a/cell/front.go
+++ b/cell/front.go
@@ -29,9 +29,6 @@
 // reasonTenureOver means that the leader cannot store its heartbeats.
 const reasonTenureOver = "tenure_over"
 
-// reasonLogDown means that an outcome is not known because the log is down.
-const reasonLogDown = "log_down"
-
 // Submit hands a job to the leader. nil means that the job is stored. An error of
 // kind outcome_unknown means that the job may be stored; any other error that it
 // is not and never runs.
@@ -98,9 +95,6 @@
 		}
 		if ctx.Err() != nil || (unknown == nil && d.clock()-began >= patience) {
 			if unknown != nil {
-				if !d.route.reaches() {
-					return nil, errkind.Wrap(errkind.OutcomeUnknown, reasonLogDown, unknown)
-				}
 				return nil, errkind.Wrap(errkind.OutcomeUnknown, "leader_silent", unknown)
 			}
 			return nil, err
--- a/cell/retry.go
+++ b/cell/retry.go
@@ -46,11 +46,3 @@
 	}
 	return q.Target + time.Duration(q.Stretch*float64(longest))
 }
-
-// BreakOff reports whether the connection of a caller should end without an
-// answer. While the log is down, the outcome of a submission is not known. Callers
-// send a job again after a broken connection, under the same id, and learn then
-// when to come back; many take a 504 for the end.
-func BreakOff(err error) bool {
-	return errkind.Of(err) == errkind.OutcomeUnknown && errkind.ReasonOf(err) == reasonLogDown
-}
