--- a/cell/front.go
+++ b/cell/front.go
@@ -101,6 +101,9 @@
 		}
 		select {
 		case <-ctx.Done():
+			if unknown == nil {
+				return nil, err // the last answer still holds: nothing was handed over
+			}
 		case <-changed:
 		case <-time.After(leaderPoll):
 		}
