--- a/sched/engine.go
+++ b/sched/engine.go
@@ -120,7 +120,6 @@
 			j.queue = q
 		}
 	}
-
 }
 
 // Submit accepts a job. done is called with true when its record is stored. An
@@ -261,7 +260,6 @@
 	t.done = true
 	s.doneTasks++
 	e.journal.dirty[s.occ.job] = true
-
 	if s.doneTasks < len(s.tasks) {
 		return
 	}
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -131,7 +131,6 @@
 
 // Flushed confirms that a batch is stored.
 func (e *Engine) Flushed(b *Batch, now time.Duration) {
-
 	for _, j := range b.fresh {
 		j.stored = true
 		call(&j.onStored)
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -122,7 +122,6 @@
 			e.log.Info().Str("event", "machine_unlisted").Str("machine", id).Int("runs", len(m.runs)).Send()
 		}
 	}
-
 }
 
 func (e *Engine) setMachine(spec Machine, now time.Duration) {
--- a/sched/observe.go
+++ b/sched/observe.go
@@ -32,7 +32,6 @@
 	}
 	if !m.looked {
 		m.looked = true
-
 		e.log.Info().Str("event", "machine_in_touch").Str("machine", id).Int64("token", token).
 			Int("running", len(l.Running)).Int("ended", len(l.Ended)).Send()
 	}
@@ -235,7 +234,6 @@
 		Int64("run", r.number).Str("reason", why).Int64("age_ms", (now - r.ordered).Milliseconds()).Send()
 	began := r.started != 0
 	e.dropRun(r)
-
 	s := r.task.step
 	if s.spec.Gang && !r.task.done && began {
 		e.abortGang(s, why, now, true)
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -63,7 +63,6 @@
 func (e *Engine) refused(m *machineState, r *run, outcome StartOutcome, now time.Duration) {
 	t, s := r.task, r.task.step
 	e.dropRun(r)
-
 	switch outcome {
 	case RefusedTicket:
 		s.advice.forget(m)
