--- a/cell/front.go
+++ b/cell/front.go
@@ -16,8 +16,8 @@
 	// submitLimit bounds a submission whose outcome is not known: the caller learns
 	// that early and sends the same job again, rather than late in its deadline.
 	submitLimit = 1200 * time.Millisecond
-	// askPatience is the same for questions about a job and for cancellations, which
-	// callers cannot send elsewhere.
+	// askPatience is how long questions about a job and cancellations wait for a
+	// leader. They wait longer than submissions: a change of the leader ends them.
 	askPatience = 1500 * time.Millisecond
 	// attemptTimeout bounds one call to the leader. A job is stored within it unless
 	// the log is slow.
