Book future room for gangs and let shorter work backfill it

Change: a gang that does not fit books room on the machines that will hold all of it first, by the expected ends of the runs there. Later work may use that room if it ends before; everything else is left to it. Gangs ask about machines until they have all tickets, and in time before their booked start; first questions aim for three times the machines needed, not 1.6.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -19,7 +19,7 @@
 	goodRateWeight = 0.1
 	// askSpare is how many more allowed machines a first question aims for than the
 	// tasks need, so that some have room when the answer is there.
-	askSpare = 1.6
+	askSpare = 3
 	// searchEvery is the shortest time between two searches of a step for machines
 	// to ask about, and searchLimit the number of searches of one pass. They bound
 	// the processor time of a pass while many steps wait.
@@ -113,7 +113,7 @@
 		}
 		open = append(open, choice{m, min(p.slots(s, m), enoughRoom), p.score(s, m)})
 	}
-	if known >= knownEnough*len(s.tasks) {
+	if !s.spec.Gang && known >= knownEnough*len(s.tasks) {
 		return nil // they are only full
 	}
 	slices.SortFunc(open, func(a, b choice) int {
@@ -128,7 +128,8 @@
 }
 
 // knownEnough times the tasks of a step is the room on allowed machines, were they
-// empty, beyond which no further machines are asked about.
+// empty, beyond which no further machines are asked about. A gang needs all its
+// room at once and asks on.
 const knownEnough = 3
 
 // questionSize returns how many of the open machines, which could hold a number of
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -39,7 +38,7 @@
 	expected := e.speeds.expected(s.occ.job.queue, s.spec)
 	plan, whole := p.fitGang(s, p.candidates(s, expected), len(s.tasks))
 	if !whole {
-		p.hold(s)
+		p.book(s)
 		p.wantAdvice(s, nil, true)
 		return
 	}
@@ -203,75 +202,9 @@
 	}
 }
 
-// hold keeps machines free for a gang that does not fit yet: those allowed ones
-// with the most free room that together could hold it.
-func (p *pass) hold(s *step) {
-	sp := p.service(s.occ.job.queue.Service)
-	limit := int(holdMachines * float64(len(sp.machines)))
-	if sp.holding >= limit {
-		return
-	}
-	type choice struct {
-		m     *machineState
-		slots int
-		share float64
-	}
-	var choices []choice
-	for _, m := range p.allowedMachines(s) {
-		if p.held[m] || !p.eligible(s, m) {
-			continue
-		}
-		n := wholeSlots(s, m)
-		if n > 0 {
-			free := 1.0
-			if m.spec.Capacity.CPUMilli > 0 {
-				free = float64(m.free().CPUMilli) / float64(m.spec.Capacity.CPUMilli)
-			}
-			choices = append(choices, choice{m, n, free})
-		}
-	}
-	slices.SortFunc(choices, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(b.share, a.share), cmp.Compare(a.m.spec.ID, b.m.spec.ID))
-	})
-	left := len(s.tasks)
-	var keep []*machineState
-	for _, c := range choices {
-		if left <= 0 {
-			break
-		}
-		left -= c.slots
-		keep = append(keep, c.m)
-	}
-	if left > 0 || sp.holding+len(keep) > limit {
-		return
-	}
-	p.keep(s, keep)
-}
-
-// keep holds machines back from the longer tasks of steps that come later.
-func (p *pass) keep(s *step, machines []*machineState) {
-	sp := p.service(s.occ.job.queue.Service)
-	for _, m := range machines {
-		if !p.held[m] {
-			p.held[m] = true
-			sp.holding++
-		}
-	}
-}
-
 // wholeSlots returns how many tasks of s fit on an empty m.
 func wholeSlots(s *step, m *machineState) int {
-	n := len(s.tasks)
-	need, room := s.spec.Need, m.spec.Capacity
-	if need.CPUMilli > 0 {
-		n = min(n, int(room.CPUMilli/need.CPUMilli))
-	}
-	if need.MemoryMiB > 0 {
-		n = min(n, int(room.MemoryMiB/need.MemoryMiB))
-	}
-	if need.Accelerators > 0 {
-		n = min(n, int(room.Accelerators/need.Accelerators))
-	}
+	n := fits(s, m.spec.Capacity)
 	if s.spec.PerMachine > 0 {
 		n = min(n, s.spec.PerMachine)
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -13,12 +13,6 @@
 	// lateFactor times the objective of a job is when its completion is worth
 	// nothing to its caller any more.
 	lateFactor = 3
-	// holdMachines is the share of the machines of a service that may be kept free
-	// for gangs that do not fit yet.
-	holdMachines = 0.5
-	// shortTask is the run time up to which a task may use a machine that is kept
-	// free for a gang.
-	shortTask = time.Second
 	// refusedPause is how long a step waits after a machine has refused a start.
 	refusedPause = 50 * time.Millisecond
 	// relaxedPace is the weight of a machine's speed for work that is not quick: it
@@ -62,7 +56,7 @@
 	e.compact(now)
 	e.watchRuns(now)
 	e.refreshWaiting(now)
-	p := &pass{e: e, now: now, held: make(map[*machineState]bool), services: make(map[string]*servicePass), searches: searchLimit}
+	p := &pass{e: e, now: now, bookings: newBookings(), services: make(map[string]*servicePass), searches: searchLimit}
 	for _, s := range e.waiting {
 		if s.occ.job.state.final() || now < s.notBefore {
 			continue
@@ -104,8 +98,8 @@
 type pass struct {
 	e        *Engine
 	now      time.Duration
-	held     map[*machineState]bool // kept free for a gang that comes first
 	services map[string]*servicePass
+	bookings bookings
 	searches int // searches for machines to ask about that are left
 }
 
@@ -113,7 +107,7 @@
 type servicePass struct {
 	machines []*machineState
 	usable   map[*machineState]bool
-	holding  int // machines kept free
+	booked   int // gangs that room is kept for
 }
 
 // service returns the machines that may take work of a service, in a fixed order.
@@ -184,18 +178,7 @@
 
 // slots returns how many further tasks of s fit on m now.
 func (p *pass) slots(s *step, m *machineState) int {
-	need, free := s.spec.Need, m.free()
-	n := len(s.tasks)
-	fit := func(need, free int64) {
-		if need > 0 {
-			n = min(n, int(max(free, 0)/need))
-		}
-	}
-	if !s.spec.Filler {
-		fit(need.CPUMilli, free.CPUMilli)
-	}
-	fit(need.MemoryMiB, free.MemoryMiB)
-	fit(need.Accelerators, free.Accelerators)
+	n := fits(s, m.free())
 	if s.spec.PerMachine > 0 {
 		n = min(n, s.spec.PerMachine-m.perStep[s])
 	}
@@ -245,10 +228,7 @@
 		if !p.eligible(s, m) {
 			continue
 		}
-		if p.held[m] && expected > shortTask {
-			continue
-		}
-		n := p.slots(s, m)
+		n := min(p.slots(s, m), p.unbooked(s, m, expected))
 		if n == 0 {
 			continue
 		}
