--- a/sched/plan_test.go
+++ b/sched/plan_test.go
@@ -45,11 +45,14 @@
 	b.e.Observe(id, view.Token, Look{Born: 1, Clock: b.now.Milliseconds(), Sent: b.now, Running: running, Ended: ended}, b.now)
 }
 
-// submit stores a job and returns its id.
-func (b *bench) submit(steps ...Step) string {
+// submit stores a job of the queue q and returns its id.
+func (b *bench) submit(steps ...Step) string { return b.submitTo("q", steps...) }
+
+// submitTo stores a job and returns its id.
+func (b *bench) submitTo(queue string, steps ...Step) string {
 	b.n++
 	id := fmt.Sprintf("%016d", b.n)
-	if err := b.e.Submit(Job{ID: id, Queue: "q", Steps: steps, Accepted: b.now.Milliseconds()}, b.now,
+	if err := b.e.Submit(Job{ID: id, Queue: queue, Steps: steps, Accepted: b.now.Milliseconds()}, b.now,
 		time.UnixMilli(b.now.Milliseconds()), func() {}); err != nil {
 		b.t.Fatal(err)
 	}
