Add a fault soak of the cell daemon with real processes

Cause: the cell was tested within one process; kills, pauses, and connections that are cut one way or go silent were met on the users' bench only.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, test, lint, demo, bench, bench-compare, soak, generate. Each installs what it
+# Targets: build, test, lint, demo, bench, bench-compare, soak, soak-cell, generate. Each installs what it
 # needs through the Go module proxy; no other download is made.
 
 GO ?= go
@@ -6,7 +6,7 @@
 # Packages whose tests run under the race detector.
 RACE ?= -race
 
-.PHONY: build test lint demo bench bench-compare soak generate clean
+.PHONY: build test lint demo bench bench-compare soak soak-cell generate clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -39,6 +39,14 @@
 soak: build
 	$(GO) test -count=1 -timeout 60m -run TestSoak -v ./internal/cluster -soak $(SOAK) -seed $(SEED)
 
+# The same for the daemon on the users' platform: SEEDS from first to last, faults
+# for SOAK_EACH, with DAEMONS processes.
+SEEDS ?= 1-50
+SOAK_EACH ?= 6s
+DAEMONS ?= 4
+soak-cell:
+	$(GO) test -count=1 -timeout 60m -run TestSoak -v ./platform -seeds $(SEEDS) -soak $(SOAK_EACH) -daemons $(DAEMONS)
+
 # Prints the three measures with their baselines and fails on a target that is
 # missed and not listed in docs/CAPACITY.md. SAVE=file keeps the figures.
 bench: build
