Send an append again beside the first while its answer is missing

While the store loses half of its answers, each heartbeat waited 900 ms for its answer, longer than a tenure; two lost answers in a row made the leader give up; leaders changed up to eight times, some of them weak hosts.

Ruled out: a fault that always shows.

Change: an append that is not answered within 120 ms, or three times the usual duration, is sent again beside the first, four copies at most. Its fence lets the log store it once. A refusal is an answer and is not repeated. TestLostAnswersOfAppends fails before.

--- a/cell/logroute.go
+++ b/cell/logroute.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -18,6 +19,16 @@
 	// directTimeout bounds a direct call, beyond the time that it may wait, while
 	// another daemon could make it.
 	directTimeout = 450 * time.Millisecond
+	// hedgeLeast is the wait for the answer to an append after which it is sent again
+	// beside the first. The log answers within a few round trips between regions
+	// unless the answer is lost.
+	hedgeLeast = 120 * time.Millisecond
+	// hedgeFactor times the usual duration of an append is the wait while the log is slow.
+	hedgeFactor = 3
+	// hedgeTries bounds the copies of one append.
+	hedgeTries = 4
+	// appendWeight is the weight of one append in the usual duration.
+	appendWeight = 0.2
 )
 
 // routedLog calls the log directly, and through another daemon while the log
@@ -32,7 +43,8 @@
 	relays   []string // addresses of daemons that reach the log
 	badUntil time.Duration
 	turn     int
-	silent   int // direct calls in a row that timed out
+	silent   int           // direct calls in a row that timed out
+	usual    time.Duration // of a direct append
 	// onSilence is called when the log does not answer this daemon at all, while
 	// other daemons may reach it.
 	onSilence func()
@@ -138,15 +150,69 @@
 	return *out.Page, err
 }
 
-// Append implements Log. A repeat through another way is safe: the log knows the
-// writer, its epoch and the sequence number.
+// Append implements Log. A repeat, also through another way, is safe: a fence lets
+// the log store an append once. If the first copy is stored and its answer is lost,
+// a repeat under an offset fails with kind conflict.
 func (r *routedLog) Append(ctx context.Context, s Stream, entries []Entry, f Fence) error {
 	_, err := r.do(ctx, &logCall{Stream: s, Kind: "append", Entries: entries, Fence: f}, func(ctx context.Context) (Page, error) {
-		return Page{}, r.direct.Append(ctx, s, entries, f)
+		return Page{}, r.hedge(ctx, func(ctx context.Context) error { return r.direct.Append(ctx, s, entries, f) })
 	})
 	return err
 }
 
+// hedge makes a call that may be repeated, and makes it again beside the first
+// while no answer comes. It returns the first answer.
+func (r *routedLog) hedge(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // a connection that has lost an answer is not used again
+	r.mu.Lock()
+	wait := max(hedgeLeast, hedgeFactor*r.usual)
+	r.mu.Unlock()
+	results := make(chan error, hedgeTries)
+	sent := 0
+	send := func() {
+		sent++
+		began := r.clock()
+		go func() {
+			err := call(ctx)
+			if answered(err) {
+				r.tookAppend(r.clock() - began)
+			}
+			results <- err
+		}()
+	}
+	send()
+	var unknown error
+	for open := 1; ; {
+		var again <-chan time.Time
+		if sent < hedgeTries {
+			again = time.After(wait)
+		}
+		select {
+		case err := <-results:
+			open--
+			if answered(err) {
+				return err
+			}
+			if errkind.Of(err) == errkind.AppendUnknown {
+				unknown = err
+			}
+			if open == 0 {
+				return cmp.Or(unknown, err) // a refusal of one copy says nothing of the others
+			}
+		case <-again:
+			send()
+			open++
+		}
+	}
+}
+
+func (r *routedLog) tookAppend(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usual += time.Duration(appendWeight * float64(d-r.usual))
+}
+
 // Read implements Log.
 func (r *routedLog) Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error) {
 	return r.do(ctx, &logCall{Stream: s, Kind: "read", From: from, Wait: wait}, func(ctx context.Context) (Page, error) {
