Let a leader inherit what is known of the strength of the others

Change: a claim carries the greatest strength that its daemon knows, and a new leader lowers it only when the others have had a second to report. TestShortTermKeepsStrength fails before, 3 of 3.

--- a/cell/claim.go
+++ b/cell/claim.go
@@ -14,6 +14,9 @@
 func (t *Tenure) claim(ctx context.Context, at int64) (int64, bool) {
 	l := t.cfg.Self
 	l.Term = at + 1
+	t.mu.Lock()
+	l.Strongest = max(t.leader.Strongest, t.cfg.Cores) // until the others have reported
+	t.mu.Unlock()
 	t.cfg.Logger.Info().Str("event", "leadership_claimed").Int64("term", l.Term).Send()
 	sent := t.cfg.Clock()
 	if !t.settleAppend(ctx, l, at) {
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -58,12 +58,15 @@
 			able = max(able, p.cores)
 		}
 	}
-	l.d.tenure.SetStrongest(strongest)
+	if now-l.began > strengthGrace {
+		l.d.tenure.SetStrongest(strongest)
+	}
 	if l.d.set.Cores < weakShare*able && now-l.began > strengthGrace {
 		l.d.tenure.GiveUp("a much stronger daemon can lead")
 	}
 }
 
-// strengthGrace is how long a weak daemon leads before it hands over to a stronger
-// one, so that a cell in trouble has a leader for some time.
+// strengthGrace is how long a new leader takes over what is known of the strength of
+// the others, since they have not reported yet, and how long a weak daemon leads
+// before it hands over to a stronger one, so that a cell in trouble has a leader.
 const strengthGrace = time.Second
--- a/cell/tenure_test.go
+++ b/cell/tenure_test.go
@@ -267,3 +267,29 @@
 		return n == 1
 	})
 }
+
+// TestShortTermKeepsStrength guards against weak daemons that lead because the
+// last leader left before it had learned how strong the others are.
+func TestShortTermKeepsStrength(t *testing.T) {
+	log := newMemoryLog()
+	first := startCandidate(t, log, "first", 0.8)
+	within(t, "a leader", 4*time.Second, first.tenure.Held)
+	first.tenure.SetStrongest(0.8)
+	weak := []*candidate{startCandidate(t, log, "a", 0.2), startCandidate(t, log, "b", 0.2), startCandidate(t, log, "c", 0.2)}
+	strong := []*candidate{startCandidate(t, log, "y", 0.8), startCandidate(t, log, "z", 0.8)}
+	time.Sleep(3 * heartbeatEvery)
+	leader := first
+	for range 2 {
+		leader.tenure.GiveUp("test") // the second time right after its claim
+		var next *candidate
+		within(t, "another leader", 4*time.Second, func() bool {
+			n, last := holders(append(weak, strong...))
+			next = last
+			return n > 0 && last != leader
+		})
+		if next.tenure.cfg.Cores < 0.8 {
+			t.Fatalf("weak daemon %s leads although a strong one is there", next.tenure.cfg.Self.Daemon)
+		}
+		leader = next
+	}
+}
