Withdraw jobs that wait to be stored when the tenure ends

Cause: when the store falls silent, jobs that wait behind the append in flight have surely not been sent, yet their callers got 504 after 1.2 s and could not know.

Change: a submission checks every 50 ms whether the tenure holds. Once it does not, a job that was not handed out is forgotten and refused with a true 503 and the time to come back; a daemon that knows a new leader sends it there. A job that another caller waits for too is left alone.

--- a/cell/lead.go
+++ b/cell/lead.go
@@ -141,7 +141,38 @@
 		return err
 	}
 	kick(l.flushSoon)
-	return l.waitStored(ctx, stored)
+	return l.waitAccepted(ctx, job, stored)
+}
+
+// withdrawEvery is how often a submission that waits for its record checks whether
+// the tenure still holds.
+const withdrawEvery = 50 * time.Millisecond
+
+// waitAccepted waits until a job is stored. A job that was not sent to the log by
+// the end of the tenure is withdrawn: its caller learns that it never runs, and
+// when to come back, instead of an unknown outcome.
+func (l *lead) waitAccepted(ctx context.Context, job *sched.Job, stored chan struct{}) error {
+	check := time.NewTicker(withdrawEvery)
+	defer check.Stop()
+	for {
+		select {
+		case <-stored:
+			return nil
+		case <-ctx.Done():
+			return l.waitStored(ctx, stored)
+		case <-check.C:
+		}
+		if l.d.tenure.Held() {
+			continue
+		}
+		l.mu.Lock()
+		withdrawn := l.engine.Withdraw(job.ID)
+		l.mu.Unlock()
+		if withdrawn {
+			l.log.Info().Str("event", "job_withdrawn").Str("job", job.ID).Str("queue", job.Queue).Send()
+			return errkind.New(errkind.NotReady, reasonTenureOver, "the leader's tenure ended before the job was stored")
+		}
+	}
 }
 
 func (l *lead) waitStored(ctx context.Context, stored chan struct{}) error {
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -154,6 +154,25 @@
 	return nil
 }
 
+// Withdraw forgets a job that has not been handed out to be stored, so that it
+// never runs. It reports false if it may be stored, or if others wait for it too.
+func (e *Engine) Withdraw(id string) bool {
+	j := e.jobs[id]
+	if j == nil || len(j.onStored) != 1 {
+		return false
+	}
+	at := slices.Index(e.journal.fresh, j)
+	if at < 0 {
+		return false
+	}
+	e.journal.fresh = slices.Delete(e.journal.fresh, at, at+1)
+	e.live = slices.DeleteFunc(e.live, func(x *job) bool { return x == j })
+	delete(e.jobs, id)
+	delete(e.journal.dirty, j)
+	e.stats.Accepted--
+	return true
+}
+
 // impossible refuses a job that no machine of its service can ever hold.
 func (e *Engine) impossible(spec *Job, q *Queue) error {
 	for i := range spec.Steps {
--- a/sched/safety_test.go
+++ b/sched/safety_test.go
@@ -40,3 +40,37 @@
 		}
 	}
 }
+
+// TestWithdraw guards against a withdrawn job that runs, and against a withdrawal
+// of a job that may be stored or that another caller waits for.
+func TestWithdraw(t *testing.T) {
+	b := newBench(t, plainQueue, worker("m1"))
+	submit := func(id string) {
+		if err := b.e.Submit(Job{ID: id, Queue: "q", Steps: []Step{small(1)}, Accepted: b.now.Milliseconds()}, b.now,
+			time.UnixMilli(b.now.Milliseconds()), func() {}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	submit("1")
+	if !b.e.Withdraw("1") {
+		t.Error("a job that was not handed out cannot be withdrawn")
+	}
+	submit("2")
+	submit("2")
+	if b.e.Withdraw("2") {
+		t.Error("a job that two callers wait for was withdrawn")
+	}
+	submit("3")
+	batch, _, err := b.e.Flush(time.UnixMilli(b.now.Milliseconds()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.e.Withdraw("3") {
+		t.Error("a job that is being stored was withdrawn")
+	}
+	b.e.Flushed(batch, b.now)
+	b.plan()
+	if _, known := b.e.State("1"); known || b.e.Stats().Starts != 2 {
+		t.Errorf("withdrawn job known: %v, %d starts, want 2", known, b.e.Stats().Starts)
+	}
+}
