Compute the objective of a job in one place, count copies of appends

cell.Objective and the engine walked the longest chain of steps each for itself. Queue.Objective serves both; the tests keep their assertions. Copies of appends have the retry reason append_copy. No change of decisions.

--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -80,6 +80,7 @@
 	}
 	d := &Daemon{set: set, log: set.Logger, clock: set.Clock, peers: newPeers(), newConfig: make(chan struct{}, 1)}
 	d.route = &routedLog{direct: set.Log, peers: d.peers, clock: set.Clock, log: set.Logger}
+	d.route.onCopy = func() { set.Metrics.Retries.WithLabelValues("append_copy").Inc() }
 	d.route.onSilence = func() {
 		if d.lead.Load() != nil {
 			d.tenure.GiveUp("the log does not answer this daemon")
--- a/cell/logroute.go
+++ b/cell/logroute.go
@@ -45,6 +45,8 @@
 	turn     int
 	silent   int           // direct calls in a row that timed out
 	usual    time.Duration // of a direct append
+	// onCopy is called for each copy of an append that is sent.
+	onCopy func()
 	// onSilence is called when the log does not answer this daemon at all, while
 	// other daemons may reach it.
 	onSilence func()
@@ -201,6 +203,9 @@
 				return cmp.Or(unknown, err) // a refusal of one copy says nothing of the others
 			}
 		case <-again:
+			if r.onCopy != nil {
+				r.onCopy()
+			}
 			send()
 			open++
 		}
--- a/cell/retry.go
+++ b/cell/retry.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
-	"github.com/sassafraslb/sassafraslb/sched"
 )
 
 const (
@@ -31,18 +30,3 @@
 	}
 	return min(max(int(objective/retryShare/time.Second), retryMin), retryMax)
 }
-
-// Objective returns the time in which callers want a job completed.
-func Objective(job *sched.Job, q *sched.Queue) time.Duration {
-	chain := make([]time.Duration, len(job.Steps))
-	var longest time.Duration
-	for i := range job.Steps {
-		s := &job.Steps[i]
-		for _, d := range s.DependsOn {
-			chain[i] = max(chain[i], chain[d])
-		}
-		chain[i] += s.Estimate
-		longest = max(longest, chain[i])
-	}
-	return q.Target + time.Duration(q.Stretch*float64(longest))
-}
--- a/cell/retry_test.go
+++ b/cell/retry_test.go
@@ -15,8 +15,9 @@
 	const tries = 5
 	refusal := errkind.New(errkind.NotReady, reasonTenureOver, "down")
 	queue := &sched.Queue{Stretch: 4, Target: 3 * time.Second}
-	long := Objective(&sched.Job{Steps: []sched.Step{{Estimate: 3 * time.Second}}}, queue)
-	quick := Objective(&sched.Job{Steps: []sched.Step{{Estimate: 600 * time.Millisecond}}}, &sched.Queue{Stretch: 1.5, Target: 400 * time.Millisecond})
+	long := queue.Objective(&sched.Job{Steps: []sched.Step{{Estimate: 3 * time.Second}}})
+	brief := &sched.Queue{Stretch: 1.5, Target: 400 * time.Millisecond}
+	quick := brief.Objective(&sched.Job{Steps: []sched.Step{{Estimate: 600 * time.Millisecond}}})
 	for _, outage := range []time.Duration{2 * time.Second, 4200 * time.Millisecond, 9 * time.Second} {
 		back := func(objective time.Duration) time.Duration {
 			at := time.Duration(0)
@@ -44,7 +45,8 @@
 // which run side by side.
 func TestObjectiveFollowsTheLongestChain(t *testing.T) {
 	job := &sched.Job{Steps: []sched.Step{{Estimate: time.Second}, {Estimate: 3 * time.Second}, {Estimate: time.Second, DependsOn: []int{0}}}}
-	if got := Objective(job, &sched.Queue{Stretch: 2, Target: time.Second}); got != 7*time.Second {
+	queue := &sched.Queue{Stretch: 2, Target: time.Second}
+	if got := queue.Objective(job); got != 7*time.Second {
 		t.Errorf("objective %v, want 7s", got)
 	}
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // job is one job known to the engine. After its end only its state is kept.
@@ -101,23 +103,42 @@
 func (j *job) deadlines(now time.Duration, wall time.Time, speeds *speedBook) {
 	age := time.Duration(wall.UnixMilli()-j.spec.Accepted) * time.Millisecond
 	j.arrived = now - max(age, 0)
-	var chain time.Duration
+	expected := func(s *Step) time.Duration { return speeds.expected(j.queue, s) }
+	tails := j.spec.tails(expected)
 	for _, o := range j.occurrences {
 		o.due = j.arrived
 		if j.spec.Repeat > 0 {
 			due := j.spec.FirstDue + int64(o.number)*j.spec.Interval.Milliseconds()
 			o.due = now + time.Duration(due-wall.UnixMilli())*time.Millisecond
 		}
-		for i := len(o.steps) - 1; i >= 0; i-- {
-			s := o.steps[i]
-			s.tail += speeds.expected(j.queue, s.spec)
-			for _, d := range s.spec.DependsOn {
-				o.steps[d].tail = max(o.steps[d].tail, s.tail)
-			}
-			chain = max(chain, s.tail)
+		for i, s := range o.steps {
+			s.tail = tails[i]
+		}
+	}
+	j.objective = j.arrived + j.queue.objective(tails)
+}
+
+// tails returns for each step the run time of the longest chain of steps that
+// begins with it.
+func (j *Job) tails(expected func(*Step) time.Duration) []time.Duration {
+	out := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		out[i] += expected(&j.Steps[i])
+		for _, d := range j.Steps[i].DependsOn {
+			out[d] = max(out[d], out[i])
 		}
 	}
-	j.objective = j.arrived + j.queue.Target + time.Duration(j.queue.Stretch*float64(chain))
+	return out
+}
+
+// objective returns the time in which callers want a job with such chains completed.
+func (q *Queue) objective(tails []time.Duration) time.Duration {
+	return q.Target + time.Duration(q.Stretch*float64(lo.Max(tails)))
+}
+
+// Objective returns the time in which callers want a job completed, by declared run times.
+func (q *Queue) Objective(j *Job) time.Duration {
+	return q.objective(j.tails(func(s *Step) time.Duration { return s.Estimate }))
 }
 
 // ready reports whether the tasks of s may start.
