Log when a gang waits and what start is expected

A gang that books room had no line between its tickets and its start. One line when it first waits, and again when the expected start has moved by a second.

--- a/sched/booking.go
+++ b/sched/booking.go
@@ -24,6 +24,9 @@
 	// ticketLead is how long before its start, beyond the duration of the question, a
 	// booked gang asks for its tickets.
 	ticketLead = 50 * time.Millisecond
+	// bookingNews is how much later the expected start of a gang must become to be
+	// logged again.
+	bookingNews = time.Second
 )
 
 // bookings keep room for gangs that do not fit yet. They hold for one pass: the
@@ -165,6 +168,12 @@
 		p.bookings.room[x.m] = append(p.bookings.room[x.m], booking{start, s.spec.holds()})
 	}
 	machines := lo.Uniq(lo.Map(slots, func(x slot, _ int) *machineState { return x.m }))
+	if start > s.gang.booked+bookingNews {
+		s.gang.booked = start
+		p.e.log.Info().Str("event", "gang_waits").Str("step", s.name).Int("tasks", len(s.tasks)).Int("machines", len(machines)).
+			Int("allowed", len(s.advice.allowed)).Int64("expected_start_ms", (start - p.now).Milliseconds()).
+			Int64("waited_ms", (p.now - s.occ.job.arrived).Milliseconds()).Send()
+	}
 	if q.Advice != nil && start-p.now < q.Advice.Cost(len(machines))+ticketLead {
 		p.wantAdvice(s, p.stale(s, machines), false)
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -78,6 +78,7 @@
 	// tickets are asked for.
 	plan      []*machineState
 	planUntil time.Duration
+	booked    time.Duration // latest expected start that was logged
 }
 
 func newJob(spec Job, q *Queue) *job {
