--- a/sched/booking.go
+++ b/sched/booking.go
@@ -171,7 +171,7 @@
 	if start > s.gang.booked+bookingNews {
 		s.gang.booked = start
 		p.e.log.Info().Str("event", "gang_waits").Str("step", s.name).Int("tasks", len(s.tasks)).Int("machines", len(machines)).
-			Int("allowed", len(s.advice.allowed)).Int64("expected_start_ms", (start - p.now).Milliseconds()).
+			Int("allowed", len(s.advice.allowed)).Int64("expected_start_ms", (start-p.now).Milliseconds()).
 			Int64("waited_ms", (p.now - s.occ.job.arrived).Milliseconds()).Send()
 	}
 	if q.Advice != nil && start-p.now < q.Advice.Cost(len(machines))+ticketLead {
