Read the job state page by page, and go on after a page that failed

Cause: while other daemons could make the call, all pages of a reading together had 450 ms, directly and through another daemon. A state of 3,000 to 4,000 records takes a strong host 80 to 160 ms, and a weak, busy or distant one longer: it began anew each time, and the cell had no leader for good.

Change: the log gives one page a call; a page has its own limit, which a link of 10 Mbit/s can meet, and a page that fails is asked for again. A full reading goes on from the end at its first page: entries of later pages were taken for the end before, which could skip news in a list of more than one page.

--- a/cell/journal.go
+++ b/cell/journal.go
@@ -26,21 +26,15 @@
 		l.log.Warn().Str("event", "takeover_retried").Err(err).Send()
 		pause.For(ctx, restoreRetry)
 	}
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, 4*logTimeout)
-		page, err := l.d.route.Newest(limited, StreamState)
-		cancel()
-		if err == nil {
-			records := make([]sched.Record, 0, len(page.Entries))
-			for _, e := range page.Entries {
-				records = append(records, sched.Record{Key: e.Key, Value: e.Value})
-			}
-			return records, true
-		}
-		l.log.Warn().Str("event", "restore_retried").Err(err).Send()
-		pause.For(ctx, restoreRetry)
+	page, ok := newestOfAll(ctx, l.d.route, StreamState, l.log)
+	if !ok {
+		return nil, false
+	}
+	records := make([]sched.Record, 0, len(page.Entries))
+	for _, e := range page.Entries {
+		records = append(records, sched.Record{Key: e.Key, Value: e.Value})
 	}
-	return nil, false
+	return records, true
 }
 
 // journal stores what the engine hands out.
--- a/cell/logroute.go
+++ b/cell/logroute.go
@@ -225,10 +225,14 @@
 	})
 }
 
+// newestWait is the time that one page of newest entries may take beyond a plain
+// call: 1 MB over a link of 10 Mbit/s.
+const newestWait = time.Second
+
 // Newest implements Log.
-func (r *routedLog) Newest(ctx context.Context, s Stream) (Page, error) {
-	return r.do(ctx, &logCall{Stream: s, Kind: "newest"}, func(ctx context.Context) (Page, error) {
-		return r.direct.Newest(ctx, s)
+func (r *routedLog) Newest(ctx context.Context, s Stream, after string) (Page, error) {
+	return r.do(ctx, &logCall{Stream: s, Kind: "newest", After: after, Wait: newestWait}, func(ctx context.Context) (Page, error) {
+		return r.direct.Newest(ctx, s, after)
 	})
 }
 
@@ -244,7 +248,7 @@
 	case "read":
 		page, err = direct.Read(ctx, c.Stream, c.From, c.Wait)
 	case "newest":
-		page, err = direct.Newest(ctx, c.Stream)
+		page, err = direct.Newest(ctx, c.Stream, c.After)
 	default:
 		err = errkind.New(errkind.BadInput, "log_call", "unknown call %q", c.Kind)
 	}
--- a/cell/ports.go
+++ b/cell/ports.go
@@ -45,6 +45,7 @@
 type Page struct {
 	Entries []Entry
 	End     int64 // offset after the last entry of the stream
+	More    bool  // Newest has entries of further keys
 }
 
 // Log is the platform's log. Errors are of these kinds: log_unavailable (nothing
@@ -54,8 +55,9 @@
 	Append(ctx context.Context, s Stream, entries []Entry, f Fence) error
 	// Read returns entries from an offset on. It waits up to wait for the first.
 	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error)
-	// Newest returns the newest entry of every key, and the offset to read on from.
-	Newest(ctx context.Context, s Stream) (Page, error)
+	// Newest returns the newest entries of the keys after the given one, in the order
+	// of keys, as many as one call gives, and the end of the stream at that moment.
+	Newest(ctx context.Context, s Stream, after string) (Page, error)
 }
 
 // Workers gives orders to machines.
--- a/cell/tenure_test.go
+++ b/cell/tenure_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-func (l *memoryLog) Newest(context.Context, Stream) (Page, error) { return Page{}, nil }
+func (l *memoryLog) Newest(context.Context, Stream, string) (Page, error) { return Page{}, nil }
 
 // candidate is a daemon that may lead in a test.
 type candidate struct {
--- a/cell/watch.go
+++ b/cell/watch.go
@@ -30,13 +30,17 @@
 func (w *watcher) run(ctx context.Context) {
 	next := int64(-1)
 	for ctx.Err() == nil {
-		var page Page
-		var err error
 		if next < 0 {
-			page, err = w.newest(ctx)
-		} else {
-			page, err = w.read(ctx, next)
+			page, ok := newestOfAll(ctx, w.log, w.stream, w.logger)
+			if !ok {
+				return
+			}
+			w.reset()
+			w.take(ctx, page)
+			next = page.End // pages are no snapshot: later ones may be newer
+			continue
 		}
+		page, err := w.read(ctx, next)
 		if err != nil {
 			if errkind.Of(err) == errkind.NotFound {
 				next = -1 // the history is gone; the newest entries are kept
@@ -46,25 +50,55 @@
 			pause.For(ctx, logRetry)
 			continue
 		}
-		if next < 0 {
-			w.reset()
-			next = page.End
-		}
+		w.take(ctx, page)
 		for _, e := range page.Entries {
-			w.apply(e)
 			next = max(next, e.Offset+1)
 		}
-		if len(page.Entries) > 0 {
-			w.done()
-			pause.For(ctx, w.gather)
-		}
 	}
 }
 
-func (w *watcher) newest(ctx context.Context) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*logTimeout)
-	defer cancel()
-	return w.log.Newest(ctx, w.stream)
+// take applies the entries of a page.
+func (w *watcher) take(ctx context.Context, page Page) {
+	for _, e := range page.Entries {
+		w.apply(e)
+	}
+	if len(page.Entries) > 0 {
+		w.done()
+		pause.For(ctx, w.gather)
+	}
+}
+
+// newestOfAll reads the newest entry of every key, page by page, and the end of the
+// stream at the first page. A page that fails is asked for again and the others are
+// kept, so that a large stream is read over a slow link too. It reports false if
+// ctx ended.
+func newestOfAll(ctx context.Context, log Log, s Stream, logger zerolog.Logger) (Page, bool) {
+	out := Page{End: -1}
+	after, failed := "", false
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, newestWait+2*logTimeout)
+		page, err := log.Newest(limited, s, after)
+		cancel()
+		if err != nil && failed {
+			pause.For(ctx, restoreRetry)
+			continue // one line for failures in a row
+		}
+		failed = err != nil
+		if err != nil {
+			logger.Warn().Str("event", "restore_retried").Str("stream", string(s)).Int("entries", len(out.Entries)).Err(err).Send()
+			pause.For(ctx, restoreRetry)
+			continue
+		}
+		if out.End < 0 {
+			out.End = page.End
+		}
+		out.Entries = append(out.Entries, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			return out, true
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+	return out, false
 }
 
 func (w *watcher) read(ctx context.Context, from int64) (Page, error) {
--- a/cell/wire.go
+++ b/cell/wire.go
@@ -47,6 +47,7 @@
 	Fence   Fence         `cbor:"4,keyasint,omitempty"`
 	From    int64         `cbor:"5,keyasint,omitempty"`
 	Wait    time.Duration `cbor:"6,keyasint,omitempty"`
+	After   string        `cbor:"7,keyasint,omitempty"` // key
 }
 
 // reply is the answer to a call.
