Split large appends of job state

A batch after an outage could be as large as the log allows, 2 MB. Over a link of 10 Mbit/s that takes longer than any limit of a call, and it is repeated for good. Appends of up to 128 KiB end in time. Found by reading, beside the reading of the job state; TestLargeBatchesAreSplit fails before (1.2 MB in one append).

--- a/cell/journal.go
+++ b/cell/journal.go
@@ -72,13 +72,17 @@
 	}
 }
 
+// appendBytes bounds one append, so that it ends in time over a link of 10 Mbit/s.
+const appendBytes = 128 << 10
+
 // store appends records until they are stored, in as few calls as possible. It
 // reports false if ctx ended or another daemon leads.
 func (l *lead) store(ctx context.Context, records []sched.Record, sequence int64) (int64, bool) {
+	limit := min(l.d.set.MaxAppend, appendBytes)
 	for len(records) > 0 {
 		size, n := 0, 0
 		var entries []Entry
-		for n < len(records) && (n == 0 || size+len(records[n].Value)+len(records[n].Key)+8 <= l.d.set.MaxAppend) {
+		for n < len(records) && (n == 0 || size+len(records[n].Value)+len(records[n].Key)+8 <= limit) {
 			r := records[n]
 			entries = append(entries, Entry{Key: r.Key, Value: r.Value})
 			size += len(r.Value) + len(r.Key) + 8
