Count heartbeats that are found stored after their answer was lost

Cause: a heartbeat whose answer was lost and that was then found in the log did not extend the tenure, so that a leader refused work although nobody could have taken over.

Change: its sending time counts as if it had been answered. It is safe for the same reason: it is stored under the end of the stream, before any later claim.

--- a/cell/claim.go
+++ b/cell/claim.go
@@ -118,19 +118,25 @@
 // heartbeats appends heartbeats until ctx ends or another leader is found. It
 // returns the offset of the next append.
 func (t *Tenure) heartbeats(ctx context.Context, l *Leader) (at int64, fenced bool) {
-	at = l.Term // the claim is at offset Term-1
+	at = l.Term                                 // the claim is at offset Term-1
+	unanswered := make(map[int64]time.Duration) // heartbeats to when they were sent
 	for pause.For(ctx, heartbeatEvery) {
 		l.Beat++
 		t.mu.Lock()
 		l.Strongest = t.leader.Strongest
 		t.mu.Unlock()
 		sent := t.cfg.Clock()
+		unanswered[l.Beat] = sent
 		err := t.append(ctx, *l, at)
 		if errkind.Of(err) == errkind.Conflict && err != nil {
-			// Either an earlier try is stored, or another daemon has claimed leadership.
-			if fenced = t.taken(ctx, l.Term, &at); fenced {
+			// Either a heartbeat without an answer is stored, or another daemon has claimed leadership.
+			stored, fenced := t.taken(ctx, l.Term, &at)
+			if fenced {
 				return at, true
 			}
+			if then, ok := unanswered[stored]; ok {
+				t.confirm(then, l.Term)
+			}
 			continue
 		}
 		if err != nil {
@@ -140,6 +146,7 @@
 			continue
 		}
 		at++
+		clear(unanswered)
 		t.confirm(sent, l.Term)
 	}
 	return at, false
@@ -158,22 +165,26 @@
 }
 
 // taken reads the stream from an offset on. It reports whether another leader has
-// claimed a later term, and moves at behind the entries of this one.
-func (t *Tenure) taken(ctx context.Context, term int64, at *int64) bool {
+// claimed a later term, and moves at behind the entries of this one. stored is the
+// last heartbeat of this term that was found, 0 if there is none.
+func (t *Tenure) taken(ctx context.Context, term int64, at *int64) (stored int64, fenced bool) {
 	page, err := t.read(ctx, *at, 0)
 	if err != nil {
 		t.noteReach(false, err)
 		if errkind.Of(err) == errkind.NotFound {
 			*at = max(*at, page.End)
 		}
-		return false
+		return 0, false
 	}
 	for _, e := range page.Entries {
 		var found Leader
 		if err := cbor.Unmarshal(e.Value, &found); err != nil || found.Term > term {
-			return true
+			return 0, true
+		}
+		if found.Term == term {
+			stored = found.Beat
 		}
 		*at = e.Offset + 1
 	}
-	return false
+	return stored, false
 }
--- a/cell/tenure_test.go
+++ b/cell/tenure_test.go
@@ -293,3 +293,31 @@
 		leader = next
 	}
 }
+
+// TestStoredHeartbeatsCount guards against a tenure that ends although the
+// heartbeats are stored, because only their answers are lost.
+func TestStoredHeartbeatsCount(t *testing.T) {
+	log := newMemoryLog()
+	c := startCandidate(t, log, "a")
+	within(t, "a leader", 4*time.Second, c.tenure.Held)
+	log.mu.Lock()
+	log.fail = func(isAppend bool) (error, bool) {
+		if isAppend {
+			return errkind.New(errkind.AppendUnknown, "lost", "no answer"), true
+		}
+		return nil, false
+	}
+	log.mu.Unlock()
+	time.Sleep(tenureFor)
+	held := 0
+	const samples = 40
+	for range samples {
+		time.Sleep(50 * time.Millisecond)
+		if c.tenure.Held() {
+			held++
+		}
+	}
+	if held < samples/2 {
+		t.Errorf("the tenure held in %d of %d moments", held, samples)
+	}
+}
