--- a/cell/tenure_test.go
+++ b/cell/tenure_test.go
@@ -242,14 +242,22 @@
 	within(t, "the restarted daemon leads", takeoverAfter/3, again.tenure.Held)
 }
 
+// strongLeader returns a leader that knows how strong it is, and three weak daemons.
+func strongLeader(t *testing.T, log *memoryLog) (leader *candidate, weak []*candidate) {
+	leader = startCandidate(t, log, "first", 0.8)
+	within(t, "a leader", 4*time.Second, leader.tenure.Held)
+	leader.tenure.SetStrongest(0.8)
+	for _, name := range []string{"a", "b", "c"} {
+		weak = append(weak, startCandidate(t, log, name, 0.2))
+	}
+	return leader, weak
+}
+
 // TestStrongDaemonSucceeds guards against a leader on a small host, which cannot
 // carry the load, while a strong one is there.
 func TestStrongDaemonSucceeds(t *testing.T) {
 	log := newMemoryLog()
-	first := startCandidate(t, log, "first", 0.8)
-	within(t, "a leader", 4*time.Second, first.tenure.Held)
-	first.tenure.SetStrongest(0.8)
-	weak := []*candidate{startCandidate(t, log, "a", 0.2), startCandidate(t, log, "b", 0.2), startCandidate(t, log, "c", 0.2)}
+	first, weak := strongLeader(t, log)
 	strong := startCandidate(t, log, "z", 0.8)
 	time.Sleep(3 * heartbeatEvery)
 	first.tenure.GiveUp("test")
@@ -272,10 +280,7 @@
 // last leader left before it had learned how strong the others are.
 func TestShortTermKeepsStrength(t *testing.T) {
 	log := newMemoryLog()
-	first := startCandidate(t, log, "first", 0.8)
-	within(t, "a leader", 4*time.Second, first.tenure.Held)
-	first.tenure.SetStrongest(0.8)
-	weak := []*candidate{startCandidate(t, log, "a", 0.2), startCandidate(t, log, "b", 0.2), startCandidate(t, log, "c", 0.2)}
+	first, weak := strongLeader(t, log)
 	strong := []*candidate{startCandidate(t, log, "y", 0.8), startCandidate(t, log, "z", 0.8)}
 	time.Sleep(3 * heartbeatEvery)
 	leader := first
--- a/contract/isolation_test.go
+++ b/contract/isolation_test.go
@@ -26,22 +26,29 @@
 
 func (f *fixedMembers) Conn(context.Context, string) (drpc.Conn, error) { return nil, context.Canceled }
 
-// Guards against a daemon that is cut off and claims the keys of the first peer
-// that it loses, before it has lost the second one.
-func TestNoClaimBetweenTwoLosses(t *testing.T) {
-	k, now := RackKey("z", "1"), time.Now()
+// deadOwner returns a Claimer "a" that may claim the key of the dead "b", the
+// members that it sees, and whether it claims at a moment.
+func deadOwner(dState link.State, dHeard time.Time) (c *Claimer, members *fixedMembers, due func(time.Time) bool) {
+	k := RackKey("z", "1")
 	l := ownedByB(k)
 	l.add(kindJoin, Daemon{ID: "d", Incarnation: 1})
-	c := unitClaimer(l)
-	members := &fixedMembers{
-		members: []link.Member{{ID: "a", State: link.Alive}, {ID: "b", State: link.Dead}, {ID: "d", State: link.Alive}},
-		heard:   map[string]time.Time{"d": now.Add(-time.Millisecond)},
+	c = unitClaimer(l)
+	members = &fixedMembers{
+		members: []link.Member{{ID: "a", State: link.Alive}, {ID: "b", State: link.Dead}, {ID: "d", State: dState}},
+		heard:   map[string]time.Time{"d": dHeard},
 	}
 	c.cfg.Members, c.joined, c.hostsOK, c.keys = members, true, true, []Key{k}
-	due := func(at time.Time) bool {
+	return c, members, func(at time.Time) bool {
 		c.confirmed = at
 		return len(c.dueClaims(at).Keys) > 0
 	}
+}
+
+// Guards against a daemon that is cut off and claims the keys of the first peer
+// that it loses, before it has lost the second one.
+func TestNoClaimBetweenTwoLosses(t *testing.T) {
+	now := time.Now()
+	_, members, due := deadOwner(link.Alive, now.Add(-time.Millisecond))
 	if due(now) || due(now.Add(time.Second)) {
 		t.Error("key claimed while no other daemon has been heard since its owner died")
 	}
@@ -54,24 +61,13 @@
 // Guards against a daemon that was cut off and claims the keys of a peer that it
 // hears again a little later than the others.
 func TestNoClaimRightAfterIsolation(t *testing.T) {
-	k, now := RackKey("z", "1"), time.Now()
-	l := ownedByB(k)
-	l.add(kindJoin, Daemon{ID: "d", Incarnation: 1})
-	c := unitClaimer(l)
-	members := &fixedMembers{
-		members: []link.Member{{ID: "a", State: link.Alive}, {ID: "b", State: link.Dead}, {ID: "d", State: link.Dead}},
-		heard:   map[string]time.Time{"d": now.Add(time.Hour)},
-	}
-	c.cfg.Members, c.joined, c.hostsOK, c.keys = members, true, true, []Key{k}
-	due := func(at time.Time) bool {
-		c.confirmed = at
-		return len(c.dueClaims(at).Keys) > 0
-	}
+	now := time.Now()
+	c, members, due := deadOwner(link.Dead, now.Add(time.Hour))
 	if due(now) {
 		t.Error("isolated daemon claims")
 	}
 	members.members[2].State = link.Alive
-	if back := now.Add(c.cfg.ReturnWait - time.Millisecond); due(back) {
+	if due(now.Add(c.cfg.ReturnWait - time.Millisecond)) {
 		t.Error("key claimed before all peers could be heard again")
 	}
 	if !due(now.Add(c.cfg.ReturnWait)) {
