Bring lasting tasks back first, and book room for them

Cause: a lasting task that ended was placed by priority like any other work. On full machines smaller work of a higher priority took each bit of room that became free, so that a large lasting task could stay down; bookings of gangs made it worse.

Change: steps with lasting tasks come first, and those that do not fit book room. The log event is now room_booked.

--- a/sched/booking.go
+++ b/sched/booking.go
@@ -15,7 +15,7 @@
 	// overdue is how long a run is expected to go on that has outlived its expected
 	// run time.
 	overdue = 200 * time.Millisecond
-	// machinesPerBooking bounds the gangs that room is kept for to one for so many
+	// machinesPerBooking bounds the steps that room is kept for to one for so many
 	// machines of a service. It bounds the processor time of a pass.
 	machinesPerBooking = 10
 	// backfillMargin lengthens the expected run time of a task that uses booked room
@@ -24,14 +24,14 @@
 	// ticketLead is how long before its start, beyond the duration of the question, a
 	// booked gang asks for its tickets.
 	ticketLead = 50 * time.Millisecond
-	// bookingNews is how much later the expected start of a gang must become to be
+	// bookingNews is how much later the expected start of a step must become to be
 	// logged again.
 	bookingNews = time.Second
 )
 
-// bookings keep room for gangs that do not fit yet. They hold for one pass: the
-// next one makes them anew from what is running then. A later step may use booked
-// room if it ends before the gang can start (backfilling).
+// bookings keep room for gangs and lasting tasks that do not fit yet. They hold for
+// one pass: the next one makes them anew from what is running then. A later step may
+// use booked room if it ends before the booked start (backfilling).
 type bookings struct {
 	ends map[*machineState][]release // expected ends of runs, the first one first
 	room map[*machineState][]booking
@@ -47,7 +47,7 @@
 	room machine.Resources
 }
 
-// booking is room on a machine that is kept for one member of a gang from a time on.
+// booking is room on a machine that is kept for one task from a time on.
 type booking struct {
 	at   time.Duration
 	room machine.Resources
@@ -89,8 +89,8 @@
 	return out
 }
 
-// unbooked returns how many tasks of s m can take now without room that a gang
-// needs before they end.
+// unbooked returns how many tasks of s m can take now without room that others
+// have booked and need before they end.
 func (p *pass) unbooked(s *step, m *machineState, expected time.Duration) int {
 	n := len(s.tasks)
 	ends := p.now + time.Duration(backfillMargin*float64(expected))
@@ -137,15 +137,15 @@
 	return n
 }
 
-// slot is room for one member of a gang on a machine, free from a time on.
+// slot is room for one task on a machine, free from a time on.
 type slot struct {
 	at time.Duration
 	m  *machineState
 }
 
-// book keeps room for a gang that does not fit yet, on those allowed machines that
-// can hold all of it first. It asks for tickets in time.
-func (p *pass) book(s *step) {
+// book keeps room for n tasks that start together or as soon as they can, on those
+// allowed machines that can hold all of them first. It asks for tickets in time.
+func (p *pass) book(s *step, n int) {
 	q := s.occ.job.queue
 	sp := p.service(q.Service)
 	if sp.booked > len(sp.machines)/machinesPerBooking {
@@ -157,20 +157,20 @@
 			slots = p.futureSlots(slots, s, m)
 		}
 	}
-	if len(slots) < len(s.tasks) {
+	if len(slots) < n {
 		return
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
-	slots = slots[:len(s.tasks)]
+	slots = slots[:n]
 	start := slots[len(slots)-1].at
 	sp.booked++
 	for _, x := range slots {
 		p.bookings.room[x.m] = append(p.bookings.room[x.m], booking{start, s.spec.holds()})
 	}
 	machines := lo.Uniq(lo.Map(slots, func(x slot, _ int) *machineState { return x.m }))
-	if start > s.gang.booked+bookingNews {
-		s.gang.booked = start
-		p.e.log.Info().Str("event", "gang_waits").Str("step", s.name).Int("tasks", len(s.tasks)).Int("machines", len(machines)).
+	if start > s.booked+bookingNews {
+		s.booked = start
+		p.e.log.Info().Str("event", "room_booked").Str("step", s.name).Int("tasks", n).Int("machines", len(machines)).
 			Int("allowed", len(s.advice.allowed)).Int64("expected_start_ms", (start-p.now).Milliseconds()).
 			Int64("waited_ms", (p.now - s.occ.job.arrived).Milliseconds()).Send()
 	}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -38,7 +38,7 @@
 	expected := e.speeds.expected(s.occ.job.queue, s.spec)
 	plan, whole := p.fitGang(s, p.candidates(s, expected), len(s.tasks))
 	if !whole {
-		p.book(s)
+		p.book(s, len(s.tasks))
 		p.wantAdvice(s, nil, true)
 		return
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -49,6 +49,7 @@
 	tail      time.Duration // expected run time of the steps that depend on this one, and of it
 	urgency   urgency       // in the current pass
 	notBefore time.Duration // no new start before this time, after refusals
+	booked    time.Duration // latest expected start that was logged
 }
 
 // task is one unit of work.
@@ -78,7 +79,6 @@
 	// tickets are asked for.
 	plan      []*machineState
 	planUntil time.Duration
-	booked    time.Duration // latest expected start that was logged
 }
 
 func newJob(spec Job, q *Queue) *job {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -24,8 +24,9 @@
 	packWeight = 0.05
 )
 
-// urgency orders steps: on time before late, late before worthless, and within
-// these by priority and objective.
+// urgency orders steps: lasting ones first, since their users notice at once that a
+// task is down; on time before late, late before worthless, and within these by
+// priority and objective.
 type urgency struct {
 	tier      int
 	priority  int
@@ -37,7 +38,9 @@
 	u := urgency{priority: j.queue.Priority, objective: s.objective()}
 	finish := now + s.tail
 	switch {
-	case s.spec.Persistent || finish <= u.objective:
+	case s.spec.Persistent:
+		u.tier = -1
+	case finish <= u.objective:
 	case finish <= j.arrived+lateFactor*(u.objective-j.arrived):
 		u.tier = 1
 	default:
@@ -194,7 +197,7 @@
 	expected := p.e.speeds.expected(s.occ.job.queue, s.spec)
 	cands := p.candidates(s, expected)
 	var missing []*machineState
-	blocked := false
+	blocked, left := false, 0
 	for _, t := range s.tasks {
 		if !t.placeable() {
 			continue
@@ -202,7 +205,8 @@
 		m := p.best(t, cands)
 		if m == nil {
 			blocked = true
-			break
+			left++
+			continue
 		}
 		if !s.advice.allows(m, p.now) {
 			missing = append(missing, m)
@@ -210,6 +214,9 @@
 		}
 		p.start(t, m, t.lastRun+1)
 	}
+	if blocked && s.spec.Persistent {
+		p.book(s, left)
+	}
 	p.wantAdvice(s, missing, blocked)
 }
 
