--- a/cell/watch.go
+++ b/cell/watch.go
@@ -79,16 +79,15 @@
 		limited, cancel := context.WithTimeout(ctx, newestWait+2*logTimeout)
 		page, err := log.Newest(limited, s, after)
 		cancel()
-		if err != nil && failed {
-			pause.For(ctx, restoreRetry)
-			continue // one line for failures in a row
-		}
-		failed = err != nil
 		if err != nil {
-			logger.Warn().Str("event", "restore_retried").Str("stream", string(s)).Int("entries", len(out.Entries)).Err(err).Send()
+			if !failed { // one line for failures in a row
+				logger.Warn().Str("event", "restore_retried").Str("stream", string(s)).Int("entries", len(out.Entries)).Err(err).Send()
+			}
+			failed = true
 			pause.For(ctx, restoreRetry)
 			continue
 		}
+		failed = false
 		if out.End < 0 {
 			out.End = page.End
 		}
