Look for room again after a share of the run time, keep bookings between

Cause: every pass walked all machines again for each step that waits. In the load of the large deployment (540 machines, TestLargeLoadIsServed) Plan took 2.3 ms a pass, half of it in bookings of gangs, and the leader makes up to 125 passes a second.

A step that found no room looks again after 1/64 of its expected run time, 60 ms at most, or at once when the advisor answers or a run of it ends. What it booked holds in between. Answers of the advisor are found by machine instead of by a walk.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -31,46 +31,56 @@
 
 // advice is what the advisor has said about a step.
 type advice struct {
-	asked    map[*machineState]int64 // machines named in a question, with the incarnation (Born)
-	allowed  []allowance
-	want     []string // machines for the next question
+	answers  map[*machineState]answer // for each machine named in a question; nil before the first answer
+	allowed  []*machineState          // machines with an answer that allows them, in the order of the answers
+	want     []string                 // machines for the next question
 	inFlight bool
 	after    time.Duration // no question before this time
 	checked  time.Duration // when unasked machines were last looked for
 }
 
-// allowance allows the tasks of a step on one incarnation of a machine.
-type allowance struct {
-	m      *machineState
-	born   int64
-	ticket string
-	issued time.Duration
-	until  time.Duration
+// answer is what the advisor has said about one incarnation of a machine.
+type answer struct {
+	born    int64
+	allowed bool
+	ticket  string
+	issued  time.Duration
+	until   time.Duration
 }
 
-// find returns the allowance for m, valid or not, or nil.
-func (a *advice) find(m *machineState) *allowance {
-	for i := range a.allowed {
-		if x := &a.allowed[i]; x.m == m && x.born == m.spec.Born {
-			return x
-		}
-	}
-	return nil
+// find returns the last answer that allows the present incarnation of m, and false
+// if there is none. Its ticket may have run out.
+func (a *advice) find(m *machineState) (answer, bool) {
+	x, ok := a.answers[m]
+	return x, ok && x.allowed && x.born == m.spec.Born
 }
 
 // allows reports whether a task may start on m now.
 func (a *advice) allows(m *machineState, now time.Duration) bool {
-	if a.asked == nil {
+	if a.answers == nil {
 		return true // the queue has no advisor
 	}
-	x := a.find(m)
-	return x != nil && now+ticketMargin < x.until
+	x, ok := a.find(m)
+	return ok && now+ticketMargin < x.until
 }
 
 // forget removes what is known about m.
 func (a *advice) forget(m *machineState) {
-	delete(a.asked, m)
-	a.allowed = slices.DeleteFunc(a.allowed, func(x allowance) bool { return x.m == m })
+	if a.answers[m].allowed {
+		a.allowed = slices.DeleteFunc(a.allowed, func(x *machineState) bool { return x == m })
+	}
+	delete(a.answers, m)
+}
+
+// learn replaces what is known about m.
+func (a *advice) learn(m *machineState, x answer) {
+	switch was := a.answers[m].allowed; {
+	case x.allowed && !was:
+		a.allowed = append(a.allowed, m)
+	case !x.allowed && was:
+		a.forget(m)
+	}
+	a.answers[m] = x
 }
 
 // wantAdvice sets the next question of a step: about missing, which are allowed
@@ -105,8 +115,8 @@
 		if !p.eligible(s, m) {
 			continue
 		}
-		if born, asked := s.advice.asked[m]; asked && born == m.spec.Born {
-			if s.advice.find(m) != nil {
+		if x, asked := s.advice.answers[m]; asked && x.born == m.spec.Born {
+			if x.allowed {
 				known += wholeSlots(s, m)
 			}
 			continue
@@ -172,16 +182,15 @@
 // tickets that are valid for validFor from sent. An error is reported as ok false.
 func (e *Engine) Answered(a Ask, good map[string]string, validFor time.Duration, ok bool, sent, now time.Duration) {
 	s := a.step
-	s.advice.inFlight = false
-
+	s.advice.inFlight, s.retryAt = false, 0
 	if !ok {
 		s.advice.after = now + askPause
 		e.log.Warn().Str("event", "advice_failed").Str("step", a.Step).Int("machines", len(a.Machines)).
 			Int64("took_ms", (now - sent).Milliseconds()).Send()
 		return
 	}
-	if s.advice.asked == nil {
-		s.advice.asked = make(map[*machineState]int64, len(a.Machines))
+	if s.advice.answers == nil {
+		s.advice.answers = make(map[*machineState]answer, len(a.Machines))
 	}
 	fresh := 0
 	for _, id := range a.Machines {
@@ -189,15 +198,12 @@
 		if m == nil {
 			continue
 		}
-		if _, asked := s.advice.asked[m]; !asked {
+		if _, asked := s.advice.answers[m]; !asked {
 			fresh++
 		}
-		s.advice.forget(m)
-		s.advice.asked[m] = m.spec.Born
-		if text, ok := good[id]; ok {
-			// The ticket was written after the question arrived, not before sent.
-			s.advice.allowed = append(s.advice.allowed, allowance{m, m.spec.Born, text, now, sent + a.Expected + validFor})
-		}
+		text, ok := good[id]
+		// The ticket was written after the question arrived, not before sent.
+		s.advice.learn(m, answer{m.spec.Born, ok, text, now, sent + a.Expected + validFor})
 	}
 	if fresh == len(a.Machines) && fresh > 0 {
 		name := s.occ.job.queue.Name
--- a/sched/booking.go
+++ b/sched/booking.go
@@ -29,8 +29,8 @@
 	bookingNews = time.Second
 )
 
-// bookings keep room for gangs and lasting tasks that do not fit yet. They hold for
-// one pass: the next one makes them anew from what is running then. A later step may
+// bookings keep room for gangs and lasting tasks that do not fit yet. They are made
+// anew, from what is running then, whenever the step looks for room again. A later step may
 // use booked room if it ends before the booked start (backfilling).
 type bookings struct {
 	ends map[*machineState][]release // expected ends of runs, the first one first
@@ -163,10 +163,10 @@
 	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
 	slots = slots[:n]
 	start := slots[len(slots)-1].at
-	sp.booked++
 	for _, x := range slots {
-		p.bookings.room[x.m] = append(p.bookings.room[x.m], booking{start, s.spec.holds()})
+		s.kept = append(s.kept, slot{start, x.m})
 	}
+	p.keepBooking(s)
 	machines := lo.Uniq(lo.Map(slots, func(x slot, _ int) *machineState { return x.m }))
 	if start > s.booked+bookingNews {
 		s.booked = start
@@ -179,6 +179,18 @@
 	}
 }
 
+// keepBooking enters the room that s has booked in this pass or the last one that
+// looked for its room.
+func (p *pass) keepBooking(s *step) {
+	if len(s.kept) == 0 {
+		return
+	}
+	p.service(s.occ.job.queue.Service).booked++
+	for _, x := range s.kept {
+		p.bookings.room[x.m] = append(p.bookings.room[x.m], booking{x.at, s.spec.holds()})
+	}
+}
+
 // futureSlots appends the room for tasks of s on m, now and as its runs end.
 func (p *pass) futureSlots(slots []slot, s *step, m *machineState) []slot {
 	most := wholeSlots(s, m)
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -65,6 +65,7 @@
 	speeds   speedBook
 	goodRate map[string]float64 // queue to the share of machines that the advisor allows
 	watched  time.Duration      // last check on running tasks
+	passes   int64              // of Plan
 	expired  []finalJob
 	stats    Stats
 }
@@ -76,6 +77,7 @@
 	Refusals                                       map[string]int64 // refused starts by reason
 	Ends                                           map[EndKind]int64
 	Live, WaitingSteps, Machines                   int
+	Searches                                       int64 // for room, one a step and pass that looks for it
 }
 
 // Orders is what a pass of Plan hands out.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -32,18 +32,21 @@
 		e.releasePlan(s)
 		return // runs of an earlier attempt still hold room
 	}
+	expected := e.speeds.expected(s.occ.job.queue, s.spec)
 	if s.gang.plan != nil && !p.ripe(s) {
+		p.retryLater(s, expected)
 		return
 	}
-	expected := e.speeds.expected(s.occ.job.queue, s.spec)
 	plan, whole := p.fitGang(s, p.candidates(s, expected), len(s.tasks))
 	if !whole {
 		p.book(s, len(s.tasks))
+		p.retryLater(s, expected)
 		p.wantAdvice(s, nil, true)
 		return
 	}
 	if stale := p.stale(s, lo.Uniq(plan)); len(stale) > 0 {
 		p.reservePlan(s, plan)
+		p.retryLater(s, expected)
 		p.wantAdvice(s, stale, false)
 		return
 	}
@@ -96,8 +99,8 @@
 // ripe reports whether the plan of a gang is settled: either its tickets are there
 // and the gang can start, or it was given up. Its room is free then.
 func (p *pass) ripe(s *step) bool {
-	sp := p.service(s.occ.job.queue.Service)
-	sound := lo.EveryBy(s.gang.plan, func(m *machineState) bool { return sp.usable[m] })
+	p.service(s.occ.job.queue.Service)
+	sound := lo.EveryBy(s.gang.plan, p.usable)
 	allowed := lo.EveryBy(s.gang.plan, func(m *machineState) bool { return s.advice.allows(m, p.now) })
 	asking := s.advice.inFlight || len(s.advice.want) > 0
 	if sound && !allowed && asking && p.now < s.gang.planUntil {
--- /dev/null
+++ b/sched/large_test.go
@@ -0,0 +1,112 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/machine"
+)
+
+// largeKinds is the load of the users' deployment of hundreds of machines, with
+// its spread of sizes and run times.
+func largeKinds() []loadKind {
+	return []loadKind{
+		{queue: Queue{Name: "quick", Service: "s", Priority: 0, MaxAttempts: 2, Stretch: 1.5, Target: 400 * time.Millisecond,
+			Advice: &Advice{16 * time.Millisecond, 230 * time.Microsecond, 2 * time.Second}}, rate: 98.6, count: 3, length: 800 * time.Millisecond,
+			need: machine.Resources{CPUMilli: 3900, MemoryMiB: 15000}, goodShare: 0.7,
+			spread: &spread{width: 0.8, cpu: 0.45, memory: 0.6, length: 0.5, estimate: 0.2, uneven: 0.3, fails: 0.05}},
+		{queue: Queue{Name: "wide", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 4, Target: 3 * time.Second,
+			Advice: &Advice{140 * time.Millisecond, 2 * time.Millisecond, 2 * time.Second}}, rate: 16.6, count: 19, length: 2700 * time.Millisecond,
+			need: machine.Resources{CPUMilli: 2800, MemoryMiB: 7900}, goodShare: 0.45,
+			spread: &spread{width: 0.6, cpu: 0.45, memory: 0.6, length: 0.5, estimate: 0.5, uneven: 0.15, fails: 0.005}},
+		{queue: Queue{Name: "gang", Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: 1200 * time.Millisecond,
+			Advice: &Advice{490 * time.Millisecond, 7 * time.Millisecond, 2 * time.Second}}, rate: 8, count: 20, length: 5 * time.Second, gang: true,
+			need: machine.Resources{CPUMilli: 4500, MemoryMiB: 17000}, goodShare: 0.3,
+			spread: &spread{width: 0.8, cpu: 0.4, memory: 0.5, length: 0.5, estimate: 0.5, uneven: 0.15, fails: 0.02}},
+	}
+}
+
+// largeLoad returns that load with a burst of gangs. A third of the machines is fast.
+func largeLoad(seed uint64) *load {
+	kinds := largeKinds()
+	kinds[2].burst, kinds[2].burstFrom, kinds[2].burstUntil = 1.8, 12*time.Second, 16*time.Second
+	l := newLoad(seed, 540, machine.Resources{CPUMilli: 16000, MemoryMiB: 65536}, 97, kinds)
+	for i, m := range l.machines {
+		if i%3 == 0 {
+			l.pace[m.ID] = 1 / 1.3
+		}
+	}
+	return l
+}
+
+// TestLargeLoadIsServed guards against a leader that looks for room so seldom, to
+// save processor time, that callers of the large deployment are served worse.
+func TestLargeLoadIsServed(t *testing.T) {
+	const target = 0.76 // worth that the users ask for on this deployment
+	l := largeLoad(1)
+	l.run(34*time.Second, 50*time.Second)
+	credit := l.credit()
+	t.Logf("credit %.3f, stats %+v", credit, l.e.Stats())
+	for i, k := range l.kinds {
+		if credit[i] < target {
+			t.Errorf("%s jobs earn %.3f of their worth, target %.2f", k.queue.Name, credit[i], target)
+		}
+	}
+}
+
+// TestBlockedStepsSearchSeldom guards against passes that walk all machines again
+// for every step that waits, which takes the leader's processor under a backlog.
+func TestBlockedStepsSearchSeldom(t *testing.T) {
+	e, now := backlog(t, 48, 300)
+	const passes, gap = 100, time.Millisecond
+	before := e.Stats().Searches
+	for range passes {
+		now += gap
+		e.Plan(now)
+	}
+	waiting := int64(e.Stats().WaitingSteps)
+	// The shortest declared run time is 640 ms, so no step looks more often than each 10 ms.
+	most := waiting * passes * int64(gap) / int64(10*time.Millisecond)
+	if got := e.Stats().Searches - before; got > most+waiting {
+		t.Errorf("%d searches for room in %d passes over %d waiting steps, want at most %d", got, passes, waiting, most+waiting)
+	}
+}
+
+// TestAnswerEndsTheWaitForRoom guards against a step that stays off after the
+// advisor has allowed a machine with room.
+func TestAnswerEndsTheWaitForRoom(t *testing.T) {
+	b := newBench(t, []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Advice: &Advice{Valid: time.Second}}}, worker("a"))
+	step := small(1)
+	step.Estimate = time.Minute
+	b.submit(step)
+	if got := b.plan(); len(got) != 0 {
+		t.Fatalf("started %v before the advisor was asked", got)
+	}
+	ask, ok := b.e.NextAsk(time.Hour, b.now)
+	if !ok {
+		t.Fatal("no question for a step that waits")
+	}
+	b.e.Answered(ask, map[string]string{"a": "ticket"}, time.Second, true, b.now, b.now)
+	if got := b.plan(); len(got) != 1 {
+		t.Errorf("started %v in the pass after the answer, want one task", got)
+	}
+}
+
+// TestBookingOutlastsTheSearch guards against later work that takes the room of a
+// booked gang in the passes in which the gang does not look for room itself.
+func TestBookingOutlastsTheSearch(t *testing.T) {
+	b := newBench(t, plainQueue, worker("a"), worker("b"))
+	long := Step{Count: 2, Estimate: time.Second, Need: machine.Resources{CPUMilli: 3000, MemoryMiB: 100}}
+	b.submit(long)
+	if got := b.plan(); len(got) != 2 {
+		t.Fatalf("started %v, want both tasks", got)
+	}
+	gang := b.submit(Step{Count: 2, Gang: true, Estimate: 4 * time.Second, Need: machine.Resources{CPUMilli: 4000, MemoryMiB: 100}})
+	b.plan()
+	b.submit(Step{Count: 2, Estimate: time.Minute, Need: machine.Resources{CPUMilli: 1000, MemoryMiB: 100}})
+	for range 3 {
+		for task := range b.plan() {
+			t.Errorf("task %s takes room that gang %s has booked", task, gang)
+		}
+	}
+}
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -32,6 +32,7 @@
 	filling   int           // runs of filler steps
 	strangers int           // runs of unknown size that are being stopped; until they end it takes no work
 	foreign   bool          // runs of former leaders may be on it that are not known
+	usableIn  int64         // the last pass in which it could take work
 	named     bool          // its record names all tasks that may run on it
 }
 
--- a/sched/observe.go
+++ b/sched/observe.go
@@ -250,6 +250,7 @@
 		r.task.avoid = r.machine.spec.ID
 	}
 	s := r.task.step
+	s.retryAt = 0
 	if s.spec.Gang && s.gang.run != 0 {
 		for _, t := range s.tasks {
 			if t.run != nil {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -19,6 +19,11 @@
 	// leaves the fast machines to quick work and to gangs, which wait for their
 	// slowest member.
 	relaxedPace = 0.2
+	// retryShare is the share of its expected run time after which a step that found
+	// no room looks for it again, and retryLimit the longest such wait. A later start
+	// by that share costs its caller little; a search costs the leader much.
+	retryShare = 1.0 / 64
+	retryLimit = 60 * time.Millisecond
 	// packWeight is the cost in score of an idle machine against a full one. It
 	// keeps whole machines free for large tasks.
 	packWeight = 0.05
@@ -59,12 +64,18 @@
 	e.compact(now)
 	e.watchRuns(now)
 	e.refreshWaiting(now)
-	p := &pass{e: e, now: now, bookings: newBookings(), services: make(map[string]*servicePass), searches: searchLimit}
+	e.passes++
+	p := &pass{e: e, number: e.passes, now: now, bookings: newBookings(), services: make(map[string]*servicePass), searches: searchLimit}
 	for _, s := range e.waiting {
-		if s.occ.job.state.final() || now < s.notBefore {
-			continue
+		switch {
+		case s.occ.job.state.final() || now < s.notBefore:
+		case now < s.retryAt:
+			p.keepBooking(s)
+		default:
+			s.kept = s.kept[:0]
+			e.stats.Searches++
+			p.place(s)
 		}
-		p.place(s)
 	}
 	out := e.orders
 	e.orders = Orders{}
@@ -100,6 +111,7 @@
 // pass is the state of one Plan.
 type pass struct {
 	e        *Engine
+	number   int64
 	now      time.Duration
 	services map[string]*servicePass
 	bookings bookings
@@ -109,7 +121,6 @@
 // servicePass holds what the steps of one service share within a pass.
 type servicePass struct {
 	machines []*machineState
-	usable   map[*machineState]bool
 	booked   int // gangs that room is kept for
 }
 
@@ -138,26 +149,29 @@
 	if len(suspects) > len(sp.machines) {
 		sp.machines = append(sp.machines, suspects...)
 	}
-	sp.usable = make(map[*machineState]bool, len(sp.machines))
 	for _, m := range sp.machines {
-		sp.usable[m] = true
+		m.usableIn = p.number
 	}
 	p.services[name] = sp
 	return sp
 }
 
+// usable reports whether m may take work in this pass; the machines of its service
+// must have been listed by service.
+func (p *pass) usable(m *machineState) bool { return m.usableIn == p.number }
+
 // allowedMachines returns the machines that s may use if they have room: all of
 // its service, or those that the advisor has allowed at some time.
 func (p *pass) allowedMachines(s *step) []*machineState {
 	q := s.occ.job.queue
-	sp := p.service(q.Service)
+	machines := p.service(q.Service).machines
 	if q.Advice == nil {
-		return sp.machines
+		return machines
 	}
 	out := make([]*machineState, 0, len(s.advice.allowed))
-	for _, x := range s.advice.allowed {
-		if sp.usable[x.m] && x.born == x.m.spec.Born {
-			out = append(out, x.m)
+	for _, m := range s.advice.allowed {
+		if _, ok := s.advice.find(m); ok && p.usable(m) {
+			out = append(out, m)
 		}
 	}
 	return out
@@ -217,9 +231,18 @@
 	if blocked && s.spec.Persistent {
 		p.book(s, left)
 	}
+	if blocked {
+		p.retryLater(s, expected)
+	}
 	p.wantAdvice(s, missing, blocked)
 }
 
+// retryLater puts the next search for room off. An answer of the advisor, or the
+// end of a run of the step, makes it due at once.
+func (p *pass) retryLater(s *step, expected time.Duration) {
+	s.retryAt = p.now + min(time.Duration(retryShare*float64(expected)), retryLimit)
+}
+
 // candidate is a machine that may take tasks of a step, with its score.
 type candidate struct {
 	m     *machineState
@@ -301,7 +324,7 @@
 	m.reserve(r)
 	var ticket string
 	var age time.Duration
-	if x := t.step.advice.find(m); x != nil {
+	if x, ok := t.step.advice.find(m); ok {
 		ticket, age = x.ticket, p.now-x.issued
 	}
 	e.orders.Starts = append(e.orders.Starts, Start{
