Write log lines that wait with one call

Cause: a busy leader writes about 2,000 lines a second, each with a system call and a wake-up of its own. Lines now wait 10 ms for others. Ruled out: fewer lines, since each says a decision. 2,000 lines took 2,000 calls, now under 20 (TestLinesShareCalls).

--- a/internal/logline/queue.go
+++ b/internal/logline/queue.go
@@ -11,6 +11,11 @@
 const (
 	// queueLines bounds the lines that wait for a slow reader.
 	queueLines = 4096
+	// gatherFor is how long the first line waits for others, and gatherBytes bounds the
+	// lines that are written with one call. A call for each line costs a busy daemon
+	// more than the line itself; a killed one loses the lines that wait.
+	gatherFor   = 10 * time.Millisecond
+	gatherBytes = 32 << 10
 	// closeWait bounds how long Close waits for the reader.
 	closeWait = 300 * time.Millisecond
 )
@@ -34,11 +39,18 @@
 
 func (q *Queue) run(out io.Writer) {
 	defer close(q.done)
+	var gathered []byte
 	for line := range q.lines {
+		time.Sleep(gatherFor)
+		gathered = gathered[:0]
 		if n := q.dropped.Swap(0); n > 0 {
-			_, _ = io.WriteString(out, `{"event":"log_lines_dropped","lines":`+strconv.FormatInt(n, 10)+"}\n")
+			gathered = append(gathered, `{"event":"log_lines_dropped","lines":`+strconv.FormatInt(n, 10)+"}\n"...)
 		}
-		_, _ = out.Write(line) // a log that cannot be written has no other place to be reported
+		gathered = append(gathered, line...)
+		for len(gathered) < gatherBytes && len(q.lines) > 0 {
+			gathered = append(gathered, <-q.lines...)
+		}
+		_, _ = out.Write(gathered) // a log that cannot be written has no other place to be reported
 	}
 }
 
