Let the leader collect less often, and rest three times as long as it plans

A pass of the engine is followed by a pause of three times its duration, so that planning takes a quarter of the processor at most.

--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -33,6 +33,9 @@
 	Clock     Clock  // default HostClock
 	Engine    sched.Config
 	MaxAppend int // bytes of one append
+	// MemoryLimited means that the runtime keeps to a memory limit, so that the leader
+	// may let its heap grow.
+	MemoryLimited bool
 	Logger    zerolog.Logger
 	Metrics   *Metrics
 }
--- a/cell/lead.go
+++ b/cell/lead.go
@@ -15,9 +15,11 @@
 const (
 	// planEvery is the longest time between two passes of the engine.
 	planEvery = 50 * time.Millisecond
-	// planGap is the shortest time between two passes. It bounds the processor time
-	// of planning under load.
+	// planGap is the shortest time between two passes.
 	planGap = 6 * time.Millisecond
+	// planRest times the duration of a pass is the pause after it: planning takes at
+	// most a quarter of the leader's processor under any backlog.
+	planRest = 3
 	// flushGap is the shortest time between two appends of job state. It bounds the
 	// calls to the log.
 	flushGap = 15 * time.Millisecond
@@ -84,6 +86,7 @@
 	l.engine.Restore(records, d.clock(), time.Now())
 	d.lead.Store(l)
 	d.set.Metrics.Leading.Set(1)
+	defer d.collectSeldom()()
 	log.Info().Str("event", "leading").Int("records", len(records)).Int64("after_ms", (d.clock() - began).Milliseconds()).Send()
 	defer func() {
 		d.lead.Store(nil)
@@ -232,7 +235,7 @@
 			slow = 0
 		}
 		l.pass(ctx, group)
-		pause.For(ctx, planGap)
+		pause.For(ctx, max(planGap, planRest*(l.clock()-now)))
 	}
 }
 
