Check the numbers of a job in one place, drop unreadable rows alone

Cause: repeatCount x count and the sum of the counts overflowed, so a job of 2^63 tasks was accepted and took the leader's memory, and that of the next leader that the caller reached (TestJobBodies failed on it; the operators' case of one message that takes a process down). Job.Check now guards the ingress, the engine and the reading of stored records.

One unreadable row made a whole look, an advisor's answer or a page of the store unreadable.

--- a/sched/engine.go
+++ b/sched/engine.go
@@ -136,6 +136,9 @@
 		}
 		return nil
 	}
+	if err := spec.Check(); err != nil {
+		return errkind.Wrap(errkind.BadInput, "bad_job", err)
+	}
 	q := e.queues[spec.Queue]
 	if q == nil {
 		return errkind.New(errkind.NotReady, "queue_not_known_yet", "queue %s is not in configuration %d", spec.Queue, e.version)
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -243,6 +243,9 @@
 		e.expired = append(e.expired, finalJob{id, now - max(age, 0)})
 		return nil
 	}
+	if err := rec.Spec.Check(); err != nil {
+		return errors.Wrap(err, "stored job")
+	}
 	q := e.queues[rec.Spec.Queue]
 	if q == nil {
 		q = &Queue{Name: rec.Spec.Queue, MaxAttempts: 1, Stretch: 1}
@@ -262,7 +265,7 @@
 		j.state = Running
 	}
 	for _, p := range rec.Steps {
-		if p.Occurrence >= len(j.occurrences) || p.Step >= len(j.occurrences[p.Occurrence].steps) {
+		if p.Occurrence < 0 || p.Occurrence >= len(j.occurrences) || p.Step < 0 || p.Step >= len(j.occurrences[p.Occurrence].steps) {
 			continue
 		}
 		s := j.occurrences[p.Occurrence].steps[p.Step]
--- a/sched/observe.go
+++ b/sched/observe.go
@@ -12,6 +12,9 @@
 	Sent    time.Duration
 	Running []RunReport
 	Ended   []EndReport
+	// Unreadable is the number of rows that were dropped. What is not listed may then
+	// be there.
+	Unreadable int
 }
 
 // Observe takes a machine's lists into account.
@@ -40,7 +43,9 @@
 		m.named = false
 		e.record(m) // it takes new work once the record no longer names its runs
 	}
-	m.foreign = false
+	if l.Unreadable == 0 {
+		m.foreign = false
+	}
 	m.lookedAt = now
 	m.clock.observe(l.Clock, now)
 	for _, end := range l.Ended {
@@ -50,11 +55,15 @@
 		}
 	}
 	present := make(map[runKey]bool, len(l.Running))
-	m.strangers = 0
+	m.strangers = l.Unreadable // each may be a run of unknown size
 	for _, rep := range l.Running {
 		present[runKey{rep.Task, rep.Run}] = true
 		e.listed(m, rep, now)
 	}
+	if l.Unreadable > 0 {
+		e.log.Warn().Str("event", "rows_unreadable").Str("machine", id).Int("rows", l.Unreadable).Send()
+		return
+	}
 	for _, r := range m.sortedRuns() {
 		if present[runKey{r.task.name, r.number}] {
 			continue
