Ask up to three questions of a gang at once where daemons are free

Open questions of a step now name different machines; further ones go out only while a third of all daemons is free, and a renewal of tickets does not wait for a search.

--- a/cell/advisors.go
+++ b/cell/advisors.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
@@ -45,6 +47,7 @@
 		}
 	}
 	slices.Sort(addresses)
+	spare := l.idleAdvisors(addresses)*spareShare >= len(addresses)
 	var out []assigned
 	for i, address := range addresses {
 		a := l.advisors[address]
@@ -55,7 +58,7 @@
 		if a.busy || now < a.after {
 			continue
 		}
-		ask, ok := l.engine.NextAsk(askLimit(i, len(addresses), now-l.began), now)
+		ask, ok := l.engine.NextAsk(askLimit(i, len(addresses), now-l.began), spare, now)
 		if !ok {
 			continue
 		}
@@ -65,6 +68,18 @@
 	return out
 }
 
+// spareShare is the part of the daemons, one in so many, that must be free for a
+// second question of the same step.
+const spareShare = 3
+
+// idleAdvisors returns how many daemons could ask a question now. l.mu is held.
+func (l *lead) idleAdvisors(addresses []string) int {
+	return lo.CountBy(addresses, func(address string) bool {
+		a := l.advisors[address]
+		return a == nil || !a.busy
+	})
+}
+
 // aloneAfter is how long a new leader asks only short questions itself while no
 // other daemon has reported.
 const aloneAfter = time.Second
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -25,6 +25,8 @@
 	// the processor time of a pass while many steps wait.
 	searchEvery = 40 * time.Millisecond
 	searchLimit = 24
+	// gangQuestions is how many questions of one gang may be open at once.
+	gangQuestions = 3
 	// askPause is the wait after a question that was not answered.
 	askPause = 100 * time.Millisecond
 )
@@ -34,9 +36,10 @@
 	answers  map[*machineState]answer // for each machine named in a question; nil before the first answer
 	allowed  []*machineState          // machines with an answer that allows them, in the order of the answers
 	want     []string                 // machines for the next question
-	inFlight bool
-	after    time.Duration // no question before this time
-	checked  time.Duration // when unasked machines were last looked for
+	asking   map[*machineState]bool   // machines of questions that are not answered
+	inFlight int                      // questions that are not answered
+	after    time.Duration            // no question before this time
+	checked  time.Duration            // when unasked machines were last looked for
 }
 
 // answer is what the advisor has said about one incarnation of a machine.
@@ -87,20 +90,30 @@
 // machines with too old tickets, or about machines that it has not asked for yet.
 func (p *pass) wantAdvice(s *step, missing []*machineState, blocked bool) {
 	q := s.occ.job.queue
-	if q.Advice == nil || s.advice.inFlight || p.now < s.advice.after {
+	if q.Advice == nil || p.now < s.advice.after {
 		return
 	}
+	missing = lo.Filter(missing, func(m *machineState, _ int) bool { return !s.advice.asking[m] })
 	if len(missing) > 0 {
 		s.advice.want = lo.Uniq(lo.Map(missing, func(m *machineState, _ int) string { return m.spec.ID }))
 		return
 	}
-	if blocked && p.searches > 0 && p.now-s.advice.checked >= searchEvery {
+	if blocked && s.advice.inFlight < s.questionsAtOnce() && p.searches > 0 && p.now-s.advice.checked >= searchEvery {
 		p.searches--
 		s.advice.checked = p.now
 		s.advice.want = p.unasked(s)
 	}
 }
 
+// questionsAtOnce is how many questions of a step may be open. A wide gang needs
+// many allowed machines at one moment, so that its questions go out together.
+func (s *step) questionsAtOnce() int {
+	if s.spec.Gang {
+		return gangQuestions
+	}
+	return 1
+}
+
 // unasked chooses machines that s has not asked about, those with most room first.
 func (p *pass) unasked(s *step) []string {
 	type choice struct {
@@ -121,6 +134,9 @@
 			}
 			continue
 		}
+		if s.advice.asking[m] {
+			continue
+		}
 		open = append(open, choice{m, min(p.slots(s, m), enoughRoom), p.score(s, m)})
 	}
 	if !s.spec.Gang && known >= knownEnough*len(s.tasks) {
@@ -158,31 +174,54 @@
 }
 
 // NextAsk returns the most urgent question whose expected duration is at most
-// limit, and false if there is none.
-func (e *Engine) NextAsk(limit time.Duration, now time.Duration) (Ask, bool) {
+// limit, and false if there is none. Unless spare is set, steps with an open
+// question are left out.
+func (e *Engine) NextAsk(limit time.Duration, spare bool, now time.Duration) (Ask, bool) {
+	var extra *step
 	for _, s := range e.waiting {
 		q := s.occ.job.queue
-		if q.Advice == nil || s.advice.inFlight || len(s.advice.want) == 0 || now < s.advice.after || s.occ.job.state.final() {
+		if q.Advice == nil || len(s.advice.want) == 0 || now < s.advice.after || s.occ.job.state.final() ||
+			q.Advice.Cost(len(s.advice.want)) > limit {
 			continue
 		}
-		cost := q.Advice.Cost(len(s.advice.want))
-		if cost > limit {
-			continue
+		if s.advice.inFlight == 0 {
+			return e.ask(s), true
 		}
-		s.advice.inFlight = true
-		e.stats.Asks++
-		a := Ask{Step: s.name, Machines: s.advice.want, Expected: cost, step: s}
-		s.advice.want = nil
-		return a, true
+		if extra == nil {
+			extra = s
+		}
+	}
+	if extra != nil && spare {
+		return e.ask(extra), true
 	}
 	return Ask{}, false
 }
 
+// ask hands the next question of a step out.
+func (e *Engine) ask(s *step) Ask {
+	a := Ask{Step: s.name, Machines: s.advice.want, Expected: s.occ.job.queue.Advice.Cost(len(s.advice.want)), step: s}
+	s.advice.want = nil
+	s.advice.inFlight++
+	if s.advice.asking == nil {
+		s.advice.asking = make(map[*machineState]bool, len(a.Machines))
+	}
+	for _, id := range a.Machines {
+		if m := e.machines[id]; m != nil {
+			s.advice.asking[m] = true
+		}
+	}
+	e.stats.Asks++
+	return a
+}
+
 // Answered takes the answer to a question into account. good maps machine ids to
 // tickets that are valid for validFor from sent. An error is reported as ok false.
 func (e *Engine) Answered(a Ask, good map[string]string, validFor time.Duration, ok bool, sent, now time.Duration) {
 	s := a.step
-	s.advice.inFlight, s.retryAt = false, 0
+	s.advice.inFlight, s.retryAt = s.advice.inFlight-1, 0
+	for _, id := range a.Machines {
+		delete(s.advice.asking, e.machines[id])
+	}
 	if !ok {
 		s.advice.after = now + askPause
 		e.log.Warn().Str("event", "advice_failed").Str("step", a.Step).Int("machines", len(a.Machines)).
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -70,7 +70,7 @@
 	for range 20 {
 		e.Plan(now)
 		for {
-			a, ok := e.NextAsk(time.Hour, now)
+			a, ok := e.NextAsk(time.Hour, false, now)
 			if !ok {
 				break
 			}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -102,7 +102,7 @@
 	p.service(s.occ.job.queue.Service)
 	sound := lo.EveryBy(s.gang.plan, p.usable)
 	allowed := lo.EveryBy(s.gang.plan, func(m *machineState) bool { return s.advice.allows(m, p.now) })
-	asking := s.advice.inFlight || len(s.advice.want) > 0
+	asking := s.advice.inFlight > 0 || len(s.advice.want) > 0
 	if sound && !allowed && asking && p.now < s.gang.planUntil {
 		return false
 	}
--- a/sched/large_test.go
+++ b/sched/large_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,11 +17,11 @@
 			need: machine.Resources{CPUMilli: 3900, MemoryMiB: 15000}, goodShare: 0.7,
 			spread: &spread{width: 0.8, cpu: 0.45, memory: 0.6, length: 0.5, estimate: 0.2, uneven: 0.3, fails: 0.05}},
 		{queue: Queue{Name: "wide", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 4, Target: 3 * time.Second,
-			Advice: &Advice{140 * time.Millisecond, 2 * time.Millisecond, 2 * time.Second}}, rate: 16.6, count: 19, length: 2700 * time.Millisecond,
+			Advice: &Advice{140 * time.Millisecond, 2 * time.Millisecond, 2 * time.Second}}, rate: 11.1, count: 19, length: 2700 * time.Millisecond, chained: 0.5,
 			need: machine.Resources{CPUMilli: 2800, MemoryMiB: 7900}, goodShare: 0.45,
 			spread: &spread{width: 0.6, cpu: 0.45, memory: 0.6, length: 0.5, estimate: 0.5, uneven: 0.15, fails: 0.005}},
 		{queue: Queue{Name: "gang", Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: 1200 * time.Millisecond,
-			Advice: &Advice{490 * time.Millisecond, 7 * time.Millisecond, 2 * time.Second}}, rate: 8, count: 20, length: 5 * time.Second, gang: true,
+			Advice: &Advice{490 * time.Millisecond, 7 * time.Millisecond, 2 * time.Second}}, rate: 6.65, count: 20, length: 5 * time.Second, gang: true, chained: 0.2,
 			need: machine.Resources{CPUMilli: 4500, MemoryMiB: 17000}, goodShare: 0.3,
 			spread: &spread{width: 0.8, cpu: 0.4, memory: 0.5, length: 0.5, estimate: 0.5, uneven: 0.15, fails: 0.02}},
 	}
@@ -82,7 +83,7 @@
 	if got := b.plan(); len(got) != 0 {
 		t.Fatalf("started %v before the advisor was asked", got)
 	}
-	ask, ok := b.e.NextAsk(time.Hour, b.now)
+	ask, ok := b.e.NextAsk(time.Hour, false, b.now)
 	if !ok {
 		t.Fatal("no question for a step that waits")
 	}
@@ -110,3 +111,48 @@
 		}
 	}
 }
+
+// TestGangQuestionsAddUp guards against wide gangs that ask about machines one
+// question after the other, so that the tickets of the first have run out when the
+// last one is answered, and against extra questions that displace others.
+func TestGangQuestionsAddUp(t *testing.T) {
+	machines := make([]Machine, 250)
+	for i := range machines {
+		machines[i] = worker(fmt.Sprintf("w-%03d", i))
+	}
+	advised := []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2,
+		Advice: &Advice{Base: 490 * time.Millisecond, PerMachine: 7 * time.Millisecond, Valid: 2 * time.Second}}}
+	b := newBench(t, advised, machines...)
+	b.submit(Step{Count: 60, Gang: true, Estimate: 5 * time.Second, Need: machine.Resources{CPUMilli: 4000, MemoryMiB: 100}})
+	var asks []Ask
+	for range 2 * gangQuestions {
+		b.now += searchEvery
+		b.plan()
+		if ask, ok := b.e.NextAsk(time.Hour, len(asks) > 0, b.now); ok {
+			asks = append(asks, ask)
+		}
+		if ask, ok := b.e.NextAsk(time.Hour, false, b.now); ok {
+			t.Fatalf("a further question about %d machines without a spare daemon", len(ask.Machines))
+		}
+	}
+	if len(asks) != gangQuestions {
+		t.Fatalf("%d questions at once, want %d", len(asks), gangQuestions)
+	}
+	named := map[string]bool{}
+	for _, a := range asks {
+		good := map[string]string{}
+		for i, id := range a.Machines {
+			if named[id] {
+				t.Errorf("machine %s is named twice", id)
+			}
+			named[id] = true
+			if i%3 == 0 {
+				good[id] = "ticket"
+			}
+		}
+		b.e.Answered(a, good, 2*time.Second, true, b.now, b.now)
+	}
+	if got := b.plan(); len(got) != 60 {
+		t.Errorf("%d tasks start once the machines of all answers are enough, want 60", len(got))
+	}
+}
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -43,6 +43,7 @@
 	burstUntil time.Duration
 	burst      float64
 	spread     *spread // nil for equal tasks whose run time is known
+	chained    float64 // share of the jobs with a second step like the first
 }
 
 // spread says how far the jobs of a kind differ.
@@ -155,9 +156,14 @@
 			step = Step{Count: min(count, 6*k.count), Estimate: length, Need: k.need, Gang: k.gang}
 		}
 		j.Steps = []Step{step}
+		if k.chained > 0 && l.rng.Float64() < k.chained {
+			step.DependsOn = []int{0}
+			j.Steps = append(j.Steps, step)
+		}
+		chain := time.Duration(len(j.Steps)) * (length + k.queue.Advice.Cost(30))
 		lj := &loadJob{kind: i, submitted: l.now, length: length,
-			objective: l.now + k.queue.Target + time.Duration(k.queue.Stretch*float64(length+k.queue.Advice.Cost(30))),
-			work:      float64(step.Count) * length.Seconds() * float64(step.Need.CPUMilli) / 1000}
+			objective: l.now + k.queue.Target + time.Duration(k.queue.Stretch*float64(chain)),
+			work:      float64(len(j.Steps)*step.Count) * length.Seconds() * float64(step.Need.CPUMilli) / 1000}
 		l.jobs[j.ID] = lj
 		if err := l.e.Submit(j, l.now, l.wall(), func() {}); err != nil {
 			l.refused++
@@ -251,15 +257,21 @@
 }
 
 func (l *load) asks() {
-	for i, free := range l.lanes {
-		if free > l.now {
+	free := 0
+	for _, until := range l.lanes {
+		if until <= l.now {
+			free++
+		}
+	}
+	for i, until := range l.lanes {
+		if until > l.now {
 			continue
 		}
 		limit := time.Hour
 		if i == 0 {
 			limit = 40 * time.Millisecond
 		}
-		a, ok := l.e.NextAsk(limit, l.now)
+		a, ok := l.e.NextAsk(limit, free*3 >= len(l.lanes), l.now)
 		if !ok {
 			continue
 		}
