--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -36,8 +36,8 @@
 	// MemoryLimited means that the runtime keeps to a memory limit, so that the leader
 	// may let its heap grow.
 	MemoryLimited bool
-	Logger    zerolog.Logger
-	Metrics   *Metrics
+	Logger        zerolog.Logger
+	Metrics       *Metrics
 }
 
 const (
