Try: ask about a step before its turn comes

Steps whose predecessors will probably end within the duration of a question were asked about already, in daemons that are spare.

--- a/sched/plan.go
+++ b/sched/plan.go
@@ -69,6 +69,8 @@
 	for _, s := range e.waiting {
 		switch {
 		case s.occ.job.state.final() || now < s.notBefore:
+		case s.early:
+			p.wantAdvice(s, nil, true)
 		case now < s.retryAt:
 			p.keepBooking(s)
 		default:
@@ -96,9 +98,13 @@
 				continue
 			}
 			for _, s := range o.steps {
-				if s.doneTasks < len(s.tasks) && s.ready(now) && s.waits() {
-					e.waiting = append(e.waiting, s)
+				if s.doneTasks == len(s.tasks) || !s.waits() {
+					continue
 				}
+				if s.early = !s.ready(now); s.early && !e.soonReady(s, now) {
+					continue
+				}
+				e.waiting = append(e.waiting, s)
 			}
 		}
 	}
