--- a/sched/advice.go
+++ b/sched/advice.go
@@ -27,9 +27,6 @@
 	searchLimit = 24
 	// gangQuestions is how many questions of one gang may be open at once.
 	gangQuestions = 3
-	// earlyMachines is the number of machines in the question whose duration is the
-	// lead at which a step is asked about before its turn.
-	earlyMachines = 60
 	// askPause is the wait after a question that was not answered.
 	askPause = 100 * time.Millisecond
 )
@@ -108,35 +105,6 @@
 	}
 }
 
-// soonReady reports whether the steps that s depends on will probably end within
-// the time that a question takes, so that its tickets are there when they end.
-func (e *Engine) soonReady(s *step, now time.Duration) bool {
-	q := s.occ.job.queue
-	switch {
-	case q.Advice == nil || now < s.occ.due:
-		return false
-	case len(s.advice.want) > 0:
-		return true // a question waits for a daemon
-	case now-s.advice.checked < searchEvery:
-		return false
-	}
-	by := now + q.Advice.Cost(earlyMachines)
-	for _, d := range s.spec.DependsOn {
-		for _, t := range s.occ.steps[d].tasks {
-			if t.done {
-				continue
-			}
-			if t.run == nil {
-				return false
-			}
-			if at, ok := e.expectedEnd(t.run, now); !ok || at > by {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // questionsAtOnce is how many questions of a step may be open. A wide gang needs
 // many allowed machines at one moment, so that its questions go out together.
 func (s *step) questionsAtOnce() int {
@@ -216,7 +184,7 @@
 			q.Advice.Cost(len(s.advice.want)) > limit {
 			continue
 		}
-		if s.advice.inFlight == 0 && !s.early {
+		if s.advice.inFlight == 0 {
 			return e.ask(s), true
 		}
 		if extra == nil {
--- a/sched/job.go
+++ b/sched/job.go
@@ -50,7 +50,6 @@
 	urgency   urgency       // in the current pass
 	notBefore time.Duration // no new start before this time, after refusals
 	booked    time.Duration // latest expected start that was logged
-	early     bool          // its turn has not come, but the advisor is asked already
 	retryAt   time.Duration // no search for room before this time, unless something of the step changes
 	kept      []slot        // room that the last search has booked, at its expected start
 }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -69,8 +69,6 @@
 	for _, s := range e.waiting {
 		switch {
 		case s.occ.job.state.final() || now < s.notBefore:
-		case s.early:
-			p.wantAdvice(s, nil, true)
 		case now < s.retryAt:
 			p.keepBooking(s)
 		default:
@@ -98,13 +96,9 @@
 				continue
 			}
 			for _, s := range o.steps {
-				if s.doneTasks == len(s.tasks) || !s.waits() {
-					continue
+				if s.doneTasks < len(s.tasks) && s.ready(now) && s.waits() {
+					e.waiting = append(e.waiting, s)
 				}
-				if s.early = !s.ready(now); s.early && !e.soonReady(s, now) {
-					continue
-				}
-				e.waiting = append(e.waiting, s)
 			}
 		}
 	}
