--- a/internal/logline/queue.go
+++ b/internal/logline/queue.go
@@ -11,11 +11,12 @@
 const (
 	// queueLines bounds the lines that wait for a slow reader.
 	queueLines = 4096
-	// gatherFor is how long the first line waits for others, and gatherBytes bounds the
-	// lines that are written with one call. A call for each line costs a busy daemon
-	// more than the line itself; a killed one loses the lines that wait.
-	gatherFor   = 10 * time.Millisecond
-	gatherBytes = 32 << 10
+	// gatherFor is how long the first line waits for others. A call for each line costs
+	// a busy daemon more than the line itself; a killed one loses the lines that wait.
+	gatherFor = 10 * time.Millisecond
+	// gatherBytes bounds the lines that are written with one call: a pipe takes that
+	// much at once or not at all.
+	gatherBytes = 4096
 	// closeWait bounds how long Close waits for the reader.
 	closeWait = 300 * time.Millisecond
 )
@@ -40,18 +41,31 @@
 func (q *Queue) run(out io.Writer) {
 	defer close(q.done)
 	var gathered []byte
+	write := func() {
+		if len(gathered) > 0 {
+			_, _ = out.Write(gathered) // a log that cannot be written has no other place to be reported
+			gathered = gathered[:0]
+		}
+	}
+	add := func(line []byte) {
+		if len(gathered)+len(line) > gatherBytes {
+			write()
+		}
+		gathered = append(gathered, line...)
+	}
 	for line := range q.lines {
-		time.Sleep(gatherFor)
-		gathered = gathered[:0]
+		if len(q.lines) == 0 {
+			time.Sleep(gatherFor)
+		}
 		if n := q.dropped.Swap(0); n > 0 {
-			gathered = append(gathered, `{"event":"log_lines_dropped","lines":`+strconv.FormatInt(n, 10)+"}\n"...)
+			add([]byte(`{"event":"log_lines_dropped","lines":` + strconv.FormatInt(n, 10) + "}\n"))
 		}
-		gathered = append(gathered, line...)
-		for len(gathered) < gatherBytes && len(q.lines) > 0 {
-			gathered = append(gathered, <-q.lines...)
+		add(line)
+		if len(q.lines) == 0 {
+			write()
 		}
-		_, _ = out.Write(gathered) // a log that cannot be written has no other place to be reported
 	}
+	write()
 }
 
 // Write implements io.Writer. It keeps a copy of p and never fails.
--- a/internal/logline/queue_test.go
+++ b/internal/logline/queue_test.go
@@ -8,13 +8,14 @@
 
 // countingWriter counts the calls to Write.
 type countingWriter struct {
-	text  strings.Builder
-	calls int
+	text           strings.Builder
+	calls, longest int
 }
 
 // Write implements io.Writer.
 func (w *countingWriter) Write(p []byte) (int, error) {
 	w.calls++
+	w.longest = max(w.longest, len(p))
 	return w.text.Write(p)
 }
 
@@ -36,7 +37,7 @@
 	if out.text.String() != want.String() {
 		t.Errorf("wrote %d bytes, want %d in the same order", out.text.Len(), want.Len())
 	}
-	if out.calls > lines/100 {
-		t.Errorf("%d calls for %d lines", out.calls, lines)
+	if out.calls > lines/100 || out.longest > gatherBytes {
+		t.Errorf("%d calls for %d lines, the longest with %d bytes", out.calls, lines, out.longest)
 	}
 }
