Report to a new leader until it leads, answer before a deadline is near

Daemons report again every 80 ms to one that has claimed leadership and does not lead yet, twelve times at most, and a change of the leader during a report is no longer missed (TestReportsReachANewLeaderAtOnce: not within 250 ms before).

TestRefusalWithoutLeaderIsDefinite (known red): a call that was under way when the deadline ended made the outcome unknown after definite refusals.

--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -43,6 +43,11 @@
 const (
 	// helloEvery is the interval at which daemons report to the leader.
 	helloEvery = 500 * time.Millisecond
+	// helloRetry is the interval while the daemon that has claimed leadership does not
+	// lead yet: it reads the job state first, and then needs the others at once.
+	helloRetry = 80 * time.Millisecond
+	// helloRetries is the number of reports in a row at that interval.
+	helloRetries = 12
 	// helloTimeout bounds one report.
 	helloTimeout = 700 * time.Millisecond
 	// readyFor is how long after the last answer of the leader a daemon counts as
@@ -201,32 +206,52 @@
 
 // greet reports to the leader, which answers with what this daemon needs to know.
 func (d *Daemon) greet(ctx context.Context) {
-	for ctx.Err() == nil {
-		// A new leader needs the other daemons at once.
+	refused := 0 // reports in a row to a daemon that does not lead yet
+	changed := d.tenure.Changed()
+	for wait := time.Duration(0); ctx.Err() == nil; wait = helloEvery {
+		if refused > 0 && refused <= helloRetries {
+			wait = helloRetry
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-d.tenure.Changed():
-		case <-time.After(helloEvery):
+		case <-changed: // a new leader needs the other daemons at once
+			refused = 0
+		case <-time.After(wait):
 		}
+		changed = d.tenure.Changed() // before the leader is read, so that no change is missed
 		l, ok := d.tenure.Leader()
 		if !ok || l.Life == d.tenure.cfg.Self.Life {
 			continue
 		}
-		limited, cancel := context.WithTimeout(ctx, helloTimeout)
-		out, err := d.peers.call(limited, l.Address, rpcHello, &call{
-			Daemon: d.set.Name, Address: joinPort(d.set.IP, d.set.Port), Reach: d.route.reaches(), Cores: d.set.Cores,
-		})
-		cancel()
-		if err != nil {
-			d.log.Debug().Str("event", "leader_silent").Str("leader", l.Daemon).Err(err).Send()
+		err := d.report(ctx, l)
+		if err == nil {
+			refused = 0
 			continue
 		}
-		d.route.setRelays(out.Peers)
-		d.mu.Lock()
-		d.pending, d.pendingAt, d.leaderAt = out.Pending, d.clock(), d.clock()
-		d.mu.Unlock()
+		refused++
+		if errkind.Of(err) != errkind.NotOwner {
+			refused = 0
+			d.log.Debug().Str("event", "leader_silent").Str("leader", l.Daemon).Err(err).Send()
+		}
+	}
+}
+
+// report makes one report to the leader and takes its answer over.
+func (d *Daemon) report(ctx context.Context, l Leader) error {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	out, err := d.peers.call(ctx, l.Address, rpcHello, &call{
+		Daemon: d.set.Name, Address: joinPort(d.set.IP, d.set.Port), Reach: d.route.reaches(), Cores: d.set.Cores,
+	})
+	if err != nil {
+		return err
 	}
+	d.route.setRelays(out.Peers)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pending, d.pendingAt, d.leaderAt = out.Pending, d.clock(), d.clock()
+	return nil
 }
 
 // Resign gives leadership up and leaves it to others.
--- a/cell/front.go
+++ b/cell/front.go
@@ -22,6 +22,10 @@
 	// attemptTimeout bounds one call to the leader. A job is stored within it unless
 	// the log is slow.
 	attemptTimeout = 1500 * time.Millisecond
+	// answerReserve is the part of a deadline in which no further call is made after a
+	// definite refusal: its answer could come too late, and then the outcome of a
+	// request that nobody has taken would count as unknown.
+	answerReserve = 150 * time.Millisecond
 	// leaderPoll is the wait before the leader is called again.
 	leaderPoll = 60 * time.Millisecond
 )
@@ -93,7 +97,7 @@
 		if errkind.ReasonOf(err) == reasonTenureOver && !d.route.reaches() {
 			patience = 0 // the log is down for all: nothing is stored until it is back
 		}
-		if ctx.Err() != nil || (unknown == nil && d.clock()-began >= patience) {
+		if ctx.Err() != nil || (unknown == nil && (d.clock()-began >= patience || nearDeadline(ctx))) {
 			if unknown != nil {
 				return nil, errkind.Wrap(errkind.OutcomeUnknown, "leader_silent", unknown)
 			}
@@ -110,6 +114,12 @@
 	}
 }
 
+// nearDeadline reports whether less than answerReserve is left.
+func nearDeadline(ctx context.Context) bool {
+	at, ok := ctx.Deadline()
+	return ok && time.Until(at) < leaderPoll+answerReserve
+}
+
 // tryLeader makes one call to the daemon that leads now.
 func (d *Daemon) tryLeader(ctx context.Context, name string, c *call) (*reply, error) {
 	l, ok := d.tenure.Leader()
