Repeat the first looks at a machine after 0.3 s instead of 0.75 s

The first three looks in a row that do not wait for an end now have 0.3 s, later ones 0.6 s as before, so that a slow leader reaches its machines too.

--- a/cell/orders.go
+++ b/cell/orders.go
@@ -18,10 +18,14 @@
 	stopTimeout = 500 * time.Millisecond
 	// lookWait is how long a machine holds the answer to a look until a run ends.
 	lookWait = 2 * time.Second
-	// lookSlack bounds a look beyond the time that it may wait.
-	lookSlack = 600 * time.Millisecond
-	// lookRetry is the wait after a look that was not answered.
-	lookRetry = 150 * time.Millisecond
+	// lookSlack bounds a look beyond the time that it may wait, and lookRetry is the
+	// wait after a look that was not answered.
+	lookSlack, lookRetry = 600 * time.Millisecond, 150 * time.Millisecond
+	// eagerSlack and eagerRetry are the same for the first eagerLooks looks in a row
+	// that do not wait for an end. The work that a former leader has accepted starts
+	// when all machines have answered a new one, and some lose a look.
+	eagerSlack, eagerRetry = 300 * time.Millisecond, 40 * time.Millisecond
+	eagerLooks             = 3
 	// ackWait is how long the next look waits for the ends of the last one to be
 	// stored, so that it acknowledges them.
 	ackWait = 250 * time.Millisecond
@@ -66,8 +70,12 @@
 func (l *lead) look(ctx context.Context, id string) {
 	wait := time.Duration(0)
 	silent := false
-	for ctx.Err() == nil {
-		err := l.lookOnce(ctx, id, wait)
+	for tries := 1; ctx.Err() == nil; tries++ {
+		slack, retry := lookSlack, lookRetry
+		if wait == 0 && tries <= eagerLooks {
+			slack, retry = eagerSlack, eagerRetry
+		}
+		err := l.lookOnce(ctx, id, wait, slack)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -76,6 +84,7 @@
 				l.log.Info().Str("event", "dependency_regained").Str("dependency", "machine").Str("machine", id).Send()
 			}
 			silent = false
+			tries = 0
 			wait = l.awaitStored(ctx, id)
 		default:
 			if !silent {
@@ -87,13 +96,14 @@
 				l.replaced(id)
 			}
 			wait = 0
-			pause.For(ctx, lookRetry)
+			pause.For(ctx, retry)
 		}
 	}
 }
 
-// lookOnce makes one look and hands the answer to the engine.
-func (l *lead) lookOnce(ctx context.Context, id string, wait time.Duration) error {
+// lookOnce makes one look and hands the answer to the engine. It waits up to wait
+// for an end, and slack longer for the answer.
+func (l *lead) lookOnce(ctx context.Context, id string, wait, slack time.Duration) error {
 	l.mu.Lock()
 	view, ok := l.engine.Machine(id)
 	end, ack := l.engine.LeaseFor(id, l.clock())
@@ -104,7 +114,7 @@
 	if !l.d.tenure.Held() {
 		end = 0 // only a leader whose tenure is confirmed extends leases
 	}
-	limited, cancel := context.WithTimeout(ctx, wait+lookSlack)
+	limited, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	sent := l.clock()
 	seen, err := l.d.set.Workers.Look(limited, view.Machine, view.Token, end, ack, wait)
@@ -224,7 +234,7 @@
 	l.mu.Unlock()
 	if urgent {
 		// The look under way may wait for long; a second one settles the stop.
-		if err := l.lookOnce(ctx, o.Machine.ID, 0); err != nil {
+		if err := l.lookOnce(ctx, o.Machine.ID, 0, lookSlack); err != nil {
 			l.log.Debug().Str("event", "look_failed").Str("machine", o.Machine.ID).Err(err).Send()
 		}
 	}
