Tell callers to come back later the longer the log is silent

The wait is now as long as the log has been silent, 1 to 3 s: tries after 0, 1, 2, 4 and 7 s. Nothing is lost in time, since a quick job refused over 1 s before the end cannot be on time any more. TestCallersOutlastAnOutage now asks that quick jobs are handed in after outages of 4.2 and 5.5 s; with a constant wait their callers have given up.

--- a/cell/retry.go
+++ b/cell/retry.go
@@ -20,13 +20,18 @@
 
 // RetryAfter returns when the caller of a refused job should come back, in whole
 // seconds. Jobs with a long objective wait longer: they lose nothing, and come back
-// after the quick ones when an outage is over.
-func RetryAfter(err error, objective time.Duration) int {
+// after the quick ones when an outage is over. The longer the log has been silent, the
+// longer the wait: callers have a few tries only, and an outage that has lasted for
+// some seconds may last as long again.
+func RetryAfter(err error, objective, outage time.Duration) int {
 	if errkind.Of(err) == errkind.Overloaded {
 		return retryFull
 	}
 	if errkind.ReasonOf(err) != reasonTenureOver {
 		return retryMin
 	}
-	return min(max(int(objective/retryShare/time.Second), retryMin), retryMax)
+	return min(max(int(max(objective/retryShare, outage)/time.Second), retryMin), retryMax)
 }
+
+// Outage returns how long the log has not answered this daemon, 0 if it does.
+func (d *Daemon) Outage() time.Duration { return d.tenure.outage() }
--- a/cell/retry_test.go
+++ b/cell/retry_test.go
@@ -18,14 +18,14 @@
 	long := queue.Objective(&sched.Job{Steps: []sched.Step{{Estimate: 3 * time.Second}}})
 	brief := &sched.Queue{Stretch: 1.5, Target: 400 * time.Millisecond}
 	quick := brief.Objective(&sched.Job{Steps: []sched.Step{{Estimate: 600 * time.Millisecond}}})
-	for _, outage := range []time.Duration{2 * time.Second, 4200 * time.Millisecond, 9 * time.Second} {
+	for _, outage := range []time.Duration{2 * time.Second, 4200 * time.Millisecond, 5500 * time.Millisecond, 9 * time.Second} {
 		back := func(objective time.Duration) time.Duration {
 			at := time.Duration(0)
 			for range tries {
 				if at >= outage {
 					return at
 				}
-				at += time.Duration(RetryAfter(refusal, objective)) * time.Second
+				at += time.Duration(RetryAfter(refusal, objective, at)) * time.Second
 			}
 			return -1
 		}
@@ -35,8 +35,11 @@
 		if at := back(quick); outage < 4*time.Second && at > outage+time.Second {
 			t.Errorf("outage of %v: a quick job is handed in at %v", outage, at)
 		}
+		if at := back(quick); outage < 6*time.Second && at < 0 {
+			t.Errorf("outage of %v: the caller of a quick job has given up before its end", outage)
+		}
 	}
-	if s := RetryAfter(errkind.New(errkind.NotReady, "no_leader", "change"), long); s != retryMin {
+	if s := RetryAfter(errkind.New(errkind.NotReady, "no_leader", "change"), long, 0); s != retryMin {
 		t.Errorf("callers wait %d s for a change of the leader, want %d", s, retryMin)
 	}
 }
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -87,7 +87,8 @@
 	leader     Leader
 	validUntil time.Duration // end of this daemon's own tenure, 0 if it does not lead
 	yieldUntil time.Duration
-	reachable  bool // the last call to the log was answered
+	reachable  bool          // the last call to the log was answered
+	lostAt     time.Duration // when a call was first not answered, if reachable is false
 	giveUp     context.CancelFunc
 	distance   time.Duration // least round trip to the log
 	changed    chan struct{}
@@ -229,7 +230,7 @@
 	if ok == t.reachable {
 		return
 	}
-	t.reachable = ok
+	t.reachable, t.lostAt = ok, t.cfg.Clock()
 	if ok {
 		t.cfg.Logger.Info().Str("event", "dependency_regained").Str("dependency", "log").Send()
 		return
@@ -237,6 +238,16 @@
 	t.cfg.Logger.Warn().Str("event", "dependency_lost").Str("dependency", "log").Err(err).Send()
 }
 
+// outage returns how long the log has not answered, 0 if it does.
+func (t *Tenure) outage() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reachable || t.lostAt == 0 {
+		return 0
+	}
+	return t.cfg.Clock() - t.lostAt
+}
+
 // follow takes an entry of the stream into account. It reports whether the
 // entry shows that a leader is alive or has just left.
 func (t *Tenure) follow(e Entry) bool {
