Judge a run without progress by its expected run time

Cause: a run counted as stuck after 1.8 s without a rise of its progress, which is reported in whole percent; a task of ten minutes rises once in 6 s. A run may now stand still for 5% of its expected run time.

--- a/sched/runs.go
+++ b/sched/runs.go
@@ -11,6 +11,9 @@
 	// stallAfter is how long a run may make no progress before it counts as stuck.
 	// Looks at a machine are at most 2 s apart.
 	stallAfter = 1800 * time.Millisecond
+	// stallShare is the share of its expected run time for which a run may show no
+	// progress: it is reported in whole percent, and run times are off by a half.
+	stallShare = 0.05
 	// slowFactor is how much longer a run must take than its siblings, or all runs of
 	// a machine than usual, to count as slow. Tasks of a step differ by less.
 	slowFactor = 2.5
@@ -187,7 +190,8 @@
 		return ""
 	}
 	gangTogether := !s.spec.Gang || r.percent > 0
-	if gangTogether && r.percent < 100 && r.seenAt-r.movedAt > stallAfter {
+	patience := max(stallAfter, time.Duration(stallShare*float64(e.speeds.expected(s.occ.job.queue, s.spec))))
+	if gangTogether && r.percent < 100 && r.seenAt-r.movedAt > patience {
 		return "stuck"
 	}
 	total, ok := r.projected()
