--- a/sched/gang.go
+++ b/sched/gang.go
@@ -34,19 +34,19 @@
 	}
 	expected := e.speeds.expected(s.occ.job.queue, s.spec)
 	if s.gang.plan != nil && !p.ripe(s) {
-		p.retryLater(s, expected)
+		p.retryLater(s, expected, "tickets_asked")
 		return
 	}
 	plan, whole := p.fitGang(s, p.candidates(s, expected), len(s.tasks))
 	if !whole {
 		p.book(s, len(s.tasks))
-		p.retryLater(s, expected)
+		p.retryLater(s, expected, "no_room_for_all_members")
 		p.wantAdvice(s, nil, true)
 		return
 	}
 	if stale := p.stale(s, lo.Uniq(plan)); len(stale) > 0 {
 		p.reservePlan(s, plan)
-		p.retryLater(s, expected)
+		p.retryLater(s, expected, "tickets_too_old")
 		p.wantAdvice(s, stale, false)
 		return
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -50,6 +50,7 @@
 	urgency   urgency       // in the current pass
 	notBefore time.Duration // no new start before this time, after refusals
 	booked    time.Duration // latest expected start that was logged
+	waitSaid  time.Duration // when its wait was last logged
 	retryAt   time.Duration // no search for room before this time, unless something of the step changes
 	kept      []slot        // room that the last search has booked, at its expected start
 }
--- a/sched/operators_test.go
+++ b/sched/operators_test.go
@@ -1,10 +1,15 @@
 package sched
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/sassafraslb/sassafraslb/machine"
 )
 
 // TestLongTasksAreNotStuck guards against long work that is stopped and started
@@ -101,3 +106,22 @@
 		t.Errorf("stats %+v, want one start and one completed job", s)
 	}
 }
+
+// TestWaitingStepsSayWhy guards against a job that waits for long without a line in
+// the log, and against a line for each pass.
+func TestWaitingStepsSayWhy(t *testing.T) {
+	var out bytes.Buffer
+	b := newBench(t, plainQueue, worker("a"))
+	b.e.log = zerolog.New(&out)
+	b.submit(Step{Count: 2, Estimate: time.Second, Need: machine.Resources{CPUMilli: 4000, MemoryMiB: 100}})
+	b.plan()
+	for range 20 {
+		b.now += 500 * time.Millisecond
+		b.look("a", []RunReport{{Task: "0000000000000001.0.0.0", Run: 1, Percent: 50}}, nil)
+		b.e.Plan(b.now)
+	}
+	lines := strings.Count(out.String(), `"event":"step_waits"`)
+	if lines < 2 || lines > 4 || !strings.Contains(out.String(), `"reason":"no_room_on_allowed_machines"`) {
+		t.Errorf("%d lines in 10 s, want one each 3 s with the reason:\n%s", lines, out.String())
+	}
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -28,6 +28,9 @@
 	// by that share costs its caller little; a search costs the leader much.
 	retryShare = 1.0 / 64
 	retryLimit = 60 * time.Millisecond
+	// waitNews is how long a job has waited, and the shortest time between two lines,
+	// when a step that waits is logged with the reason.
+	waitNews = 3 * time.Second
 	// packWeight is the cost in score of an idle machine against a full one. It
 	// keeps whole machines free for large tasks.
 	packWeight = 0.05
@@ -239,15 +242,23 @@
 		p.book(s, left)
 	}
 	if blocked {
-		p.retryLater(s, expected)
+		p.retryLater(s, expected, "no_room_on_allowed_machines")
 	}
 	p.wantAdvice(s, missing, blocked)
 }
 
 // retryLater puts the next search for room off. An answer of the advisor, or the
 // end of a run of the step, makes it due at once.
-func (p *pass) retryLater(s *step, expected time.Duration) {
+func (p *pass) retryLater(s *step, expected time.Duration, why string) {
 	s.retryAt = p.now + min(time.Duration(retryShare*float64(expected)), retryLimit)
+	if waited := p.now - s.occ.job.arrived; waited > waitNews && p.now-s.waitSaid > waitNews {
+		s.waitSaid = p.now
+		p.e.log.Info().Str("event", "step_waits").Str("step", s.name).Str("reason", why).
+			Int("tasks", len(s.tasks)-s.doneTasks).Str("need", s.spec.Need.String()).
+			Int("allowed", len(s.advice.allowed)).Int("asked", len(s.advice.answers)).Int("questions", s.advice.inFlight).
+			Int("tier", s.urgency.tier).Int64("waited_ms", waited.Milliseconds()).
+			Int64("to_objective_ms", (s.objective() - p.now).Milliseconds()).Send()
+	}
 }
 
 // candidate is a machine that may take tasks of a step, with its score.
