Bound the looks that a leader makes at once

Suspected: the 0.3 s of the first looks. A new leader sends 3,000 of them at once, their answers wait in front of its processor, and are given up and sent again.

--- a/cell/lead.go
+++ b/cell/lead.go
@@ -57,6 +57,7 @@
 
 	planSoon  chan struct{}
 	flushSoon chan struct{}
+	looks     chan struct{} // holds one token for each look that does not wait for an end
 }
 
 // runLead leads the cell until ctx ends.
@@ -67,7 +68,7 @@
 		d: d, term: term, log: log, clock: d.clock, stored: make(chan struct{}),
 		tended: make(map[string]context.CancelFunc), peers: make(map[string]*peer), list: make(map[string]sched.Machine),
 		advisors: make(map[string]*advisorState),
-		planSoon: make(chan struct{}, 1), flushSoon: make(chan struct{}, 1),
+		planSoon: make(chan struct{}, 1), flushSoon: make(chan struct{}, 1), looks: make(chan struct{}, looksAtOnce),
 	}
 	began := d.clock()
 	l.began = began
--- a/cell/orders.go
+++ b/cell/orders.go
@@ -26,6 +26,10 @@
 	// when all machines have answered a new one, and some lose a look.
 	eagerSlack, eagerRetry = 300 * time.Millisecond, 40 * time.Millisecond
 	eagerLooks             = 3
+	// looksAtOnce bounds the looks under way that do not wait for an end. A new leader
+	// looks at all machines: without a bound their answers queue at its own processor,
+	// and looks that run out of time are repeated and make it worse.
+	looksAtOnce = 256
 	// ackWait is how long the next look waits for the ends of the last one to be
 	// stored, so that it acknowledges them.
 	ackWait = 250 * time.Millisecond
@@ -104,6 +108,14 @@
 // lookOnce makes one look and hands the answer to the engine. It waits up to wait
 // for an end, and slack longer for the answer.
 func (l *lead) lookOnce(ctx context.Context, id string, wait, slack time.Duration) error {
+	if wait == 0 {
+		select {
+		case l.looks <- struct{}{}:
+			defer func() { <-l.looks }()
+		case <-ctx.Done():
+			return errkind.Wrap(errkind.Unreachable, "not_looked", ctx.Err())
+		}
+	}
 	l.mu.Lock()
 	view, ok := l.engine.Machine(id)
 	end, ack := l.engine.LeaseFor(id, l.clock())
