Keep a quarter of the daemons for long questions free of second ones

The condition that a third of all daemons is free always holds where daemons kept for short questions stand idle: of six, two may ask long ones, and second questions took both.

--- a/cell/advisors.go
+++ b/cell/advisors.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
@@ -15,6 +13,8 @@
 	shortAsk = 40 * time.Millisecond
 	// mediumAsk is the same for the daemons that are kept for short and medium ones.
 	mediumAsk = 250 * time.Millisecond
+	// unlimitedAsk stands for no limit: no question takes that long.
+	unlimitedAsk = time.Hour
 	// askSlack bounds a question beyond its expected duration.
 	askSlack = 600 * time.Millisecond
 	// advisorPause is how long a daemon is not used after it failed to ask.
@@ -47,7 +47,7 @@
 		}
 	}
 	slices.Sort(addresses)
-	spare := l.idleAdvisors(addresses)*spareShare >= len(addresses)
+	spare := l.spareAdvisors(addresses, now)
 	var out []assigned
 	for i, address := range addresses {
 		a := l.advisors[address]
@@ -58,26 +58,37 @@
 		if a.busy || now < a.after {
 			continue
 		}
-		ask, ok := l.engine.NextAsk(askLimit(i, len(addresses), now-l.began), spare, now)
+		limit := askLimit(i, len(addresses), now-l.began)
+		ask, ok := l.engine.NextAsk(limit, spare > 0, now)
 		if !ok {
 			continue
 		}
+		if limit == unlimitedAsk {
+			spare--
+		}
 		a.busy = true
 		out = append(out, assigned{ask, address})
 	}
 	return out
 }
 
-// spareShare is the part of the daemons, one in so many, that must be free for a
-// second question of the same step.
-const spareShare = 3
+// spareShare is the part, one in so many, of the daemons for questions of any
+// duration that stays free when a step asks a second question. At least one does.
+const spareShare = 4
 
-// idleAdvisors returns how many daemons could ask a question now. l.mu is held.
-func (l *lead) idleAdvisors(addresses []string) int {
-	return lo.CountBy(addresses, func(address string) bool {
-		a := l.advisors[address]
-		return a == nil || !a.busy
-	})
+// spareAdvisors returns how many daemons are free for second questions. l.mu is held.
+func (l *lead) spareAdvisors(addresses []string, now time.Duration) int {
+	all, idle := 0, 0
+	for i, address := range addresses {
+		if askLimit(i, len(addresses), now-l.began) < unlimitedAsk {
+			continue
+		}
+		all++
+		if a := l.advisors[address]; a == nil || (!a.busy && now >= a.after) {
+			idle++
+		}
+	}
+	return idle - max(1, all/spareShare)
 }
 
 // aloneAfter is how long a new leader asks only short questions itself while no
@@ -87,19 +98,18 @@
 // askLimit is the longest question for daemon i of n, after a time alone. Of four
 // daemons, one is kept for short questions and one for short and medium ones.
 func askLimit(i, n int, alone time.Duration) time.Duration {
-	const unlimited = time.Hour
 	kept := (n + 3) / 4
 	switch {
 	case n == 1 && alone < aloneAfter:
 		return shortAsk
 	case n == 1:
-		return unlimited
+		return unlimitedAsk
 	case i < kept:
 		return shortAsk
 	case i < 2*kept && n > 2:
 		return mediumAsk
 	}
-	return unlimited
+	return unlimitedAsk
 }
 
 // ask has one question asked.
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -271,7 +271,7 @@
 		if i == 0 {
 			limit = 40 * time.Millisecond
 		}
-		a, ok := l.e.NextAsk(limit, free*3 >= len(l.lanes), l.now)
+		a, ok := l.e.NextAsk(limit, free > max(1, len(l.lanes)/4), l.now)
 		if !ok {
 			continue
 		}
