Ask several questions of a gang only where one cannot name all machines

Where one question can name all machines, the further ones name those that are full, and their tickets have run out when room is there. TestSmallCellAsksOneQuestion.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -98,7 +98,7 @@
 		s.advice.want = lo.Uniq(lo.Map(missing, func(m *machineState, _ int) string { return m.spec.ID }))
 		return
 	}
-	if blocked && s.advice.inFlight < s.questionsAtOnce() && p.searches > 0 && p.now-s.advice.checked >= searchEvery {
+	if blocked && s.advice.inFlight < p.questionsAtOnce(s) && p.searches > 0 && p.now-s.advice.checked >= searchEvery {
 		p.searches--
 		s.advice.checked = p.now
 		s.advice.want = p.unasked(s)
@@ -106,9 +106,10 @@
 }
 
 // questionsAtOnce is how many questions of a step may be open. A wide gang needs
-// many allowed machines at one moment, so that its questions go out together.
-func (s *step) questionsAtOnce() int {
-	if s.spec.Gang {
+// many allowed machines at one moment, so that its questions go out together; where
+// one question can name all machines, a second one only takes a daemon from others.
+func (p *pass) questionsAtOnce(s *step) int {
+	if s.spec.Gang && len(p.service(s.occ.job.queue.Service).machines) > askLimit {
 		return gangQuestions
 	}
 	return 1
--- a/sched/large_test.go
+++ b/sched/large_test.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// TestSmallCellAsksOneQuestion guards against second questions of a gang in a cell
+// whose machines all fit into one: they take the daemons that other gangs need.
+func TestSmallCellAsksOneQuestion(t *testing.T) {
+	machines := make([]Machine, 48)
+	for i := range machines {
+		machines[i] = worker(fmt.Sprintf("w-%03d", i))
+	}
+	b := newBench(t, []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2,
+		Advice: &Advice{Base: 310 * time.Millisecond, PerMachine: 4 * time.Millisecond, Valid: 2 * time.Second}}}, machines...)
+	b.submit(Step{Count: 3, Gang: true, Estimate: 5 * time.Second, Need: machine.Resources{CPUMilli: 4000, MemoryMiB: 100}})
+	asks := 0
+	for range 5 {
+		b.now += searchEvery
+		b.plan()
+		if _, ok := b.e.NextAsk(time.Hour, true, b.now); ok {
+			asks++
+		}
+	}
+	if asks != 1 {
+		t.Errorf("%d questions at once, want 1", asks)
+	}
+}
+
 // TestGangQuestionsAddUp guards against wide gangs that ask about machines one
 // question after the other, so that the tickets of the first have run out when the
 // last one is answered, and against extra questions that displace others.
