Keep fewer daemons for short questions only

A twelfth is kept for short and an eighth for medium questions, one of each at least; of six daemons four may ask long ones instead of two (TestDaemonsForLongQuestions).

--- a/cell/advisors.go
+++ b/cell/advisors.go
@@ -95,18 +95,25 @@
 // other daemon has reported.
 const aloneAfter = time.Second
 
-// askLimit is the longest question for daemon i of n, after a time alone. Of four
-// daemons, one is kept for short questions and one for short and medium ones.
+const (
+	// shortShare and mediumShare are the parts of the daemons, one in so many, that are
+	// kept for short questions and for short and medium ones. Each carries 25 short or
+	// 4 medium questions a second, so that few are enough; one of each is kept at least.
+	shortShare, mediumShare = 12, 8
+)
+
+// askLimit is the longest question for daemon i of n, after a time alone.
 func askLimit(i, n int, alone time.Duration) time.Duration {
-	kept := (n + 3) / 4
+	short := max(1, n/shortShare)
+	medium := max(1, n/mediumShare)
 	switch {
 	case n == 1 && alone < aloneAfter:
 		return shortAsk
 	case n == 1:
 		return unlimitedAsk
-	case i < kept:
+	case i < short:
 		return shortAsk
-	case i < 2*kept && n > 2:
+	case i < short+medium && n > 2:
 		return mediumAsk
 	}
 	return unlimitedAsk
