Give the tests of lost racks more tasks than one rack holds

The six tasks of the service fit on rack b, and the scheduler places them all there when it has not heard of rack a yet; that is allowed, so the tests did not set up what they check.

--- a/job/failover_test.go
+++ b/job/failover_test.go
@@ -114,14 +114,18 @@
 	c.finishedOnce(batches)
 }
 
+// twoRacks is the number of tasks of one core that one rack of two workers cannot
+// hold, and three workers can.
+const twoRacks = 10
+
 // Guards against a task that is placed elsewhere while its worker, which the new
 // owner cannot reach, still runs it under the old lease.
 func TestWorkerUnreachableUntilLeaseLapses(t *testing.T) {
 	c := newCell(t, 2, 2, 2)
 	d := c.daemons[1]
-	service := testJob("service", workload.Service, 6, 1000, 0)
+	service := testJob("service", workload.Service, twoRacks, 1000, 0)
 	c.submit(d, service)
-	c.awaitRunning(d, service, 6)
+	c.awaitRunning(d, service, twoRacks)
 	var victim string
 	for _, r := range c.records() {
 		if r.Worker[0] == 'a' {
@@ -140,10 +144,10 @@
 				elsewhere++
 			}
 		}
-		return elsewhere == 6
+		return elsewhere == twoRacks
 	})
 	c.workers[victim].SetFaults(standin.Faults{})
-	c.awaitRunning(d, service, 6)
+	c.awaitRunning(d, service, twoRacks)
 	c.check()
 	lapsed := 0
 	for _, r := range c.records() {
@@ -187,16 +191,16 @@
 func TestPartitionedOwnerStopsRenewing(t *testing.T) {
 	c := newCell(t, 3, 2, 2)
 	d := c.daemons[2]
-	service := testJob("service", workload.Service, 6, 1000, 0)
+	service := testJob("service", workload.Service, twoRacks, 1000, 0)
 	c.submit(d, service)
-	c.awaitRunning(d, service, 6)
+	c.awaitRunning(d, service, twoRacks)
 	victim := c.runsOn('a')
 	for _, o := range c.daemons[1:] {
 		o.gate.cutOff(c.address(victim))
 	}
 	c.daemons[0].partition()
 	c.reg.give(c.daemons[1], testTakeover, c.racks[0])
-	c.moved(victim, 6)
+	c.moved(victim, twoRacks)
 	c.check()
 }
 
@@ -205,9 +209,9 @@
 func TestDelayedRenewalExtendsNoLease(t *testing.T) {
 	c := newCell(t, 3, 2, 2)
 	d := c.daemons[2]
-	service := testJob("service", workload.Service, 6, 1000, 0)
+	service := testJob("service", workload.Service, twoRacks, 1000, 0)
 	c.submit(d, service)
-	c.awaitRunning(d, service, 6)
+	c.awaitRunning(d, service, twoRacks)
 	victim := c.runsOn('a')
 	for _, o := range c.daemons[1:] {
 		o.gate.cutOff(c.address(victim))
@@ -220,7 +224,7 @@
 		t.Error("no renewal was held back, so the test shows nothing")
 	}
 	c.daemons[0].gate.open()
-	c.moved(victim, 6)
+	c.moved(victim, twoRacks)
 	c.check()
 }
 
@@ -228,9 +232,9 @@
 // worker, unreachable for a new rack owner, may still run it.
 func TestBothOwnersReplacedWorkerUnreachable(t *testing.T) {
 	c := newCell(t, 3, 2, 2)
-	service := testJob("service", workload.Service, 6, 1000, 0)
+	service := testJob("service", workload.Service, twoRacks, 1000, 0)
 	c.submit(c.daemons[2], service)
-	c.awaitRunning(c.daemons[2], service, 6)
+	c.awaitRunning(c.daemons[2], service, twoRacks)
 	victim := c.runsOn('a')
 	for _, o := range c.daemons[1:] {
 		o.gate.cutOff(c.address(victim))
@@ -241,7 +245,7 @@
 	fresh := testJob("fresh", workload.Batch, 2, 250, 10*time.Millisecond)
 	c.submit(c.daemons[1], fresh)
 	c.awaitState(c.daemons[1], fresh, Finished)
-	c.moved(victim, 6)
+	c.moved(victim, twoRacks)
 	c.check()
 }
 
