--- a/cell/front.go
+++ b/cell/front.go
@@ -118,7 +118,8 @@
 	}
 }
 
-// nearDeadline reports whether less than answerReserve is left.
+// nearDeadline reports whether less than answerReserve would be left after a pause of
+// leaderPoll.
 func nearDeadline(ctx context.Context) bool {
 	at, ok := ctx.Deadline()
 	return ok && time.Until(at) < leaderPoll+answerReserve
