Use an allowed machine only for the service that it belongs to

Since a machine counted as usable in a pass whichever service had listed it, so after a configuration that gives a queue another service, a waiting step could start on a machine of the former one that the advisor had allowed (TestQueueMovesToAnotherService failed).

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -99,8 +99,8 @@
 // ripe reports whether the plan of a gang is settled: either its tickets are there
 // and the gang can start, or it was given up. Its room is free then.
 func (p *pass) ripe(s *step) bool {
-	p.service(s.occ.job.queue.Service)
-	sound := lo.EveryBy(s.gang.plan, p.usable)
+	service := s.occ.job.queue.Service
+	sound := lo.EveryBy(s.gang.plan, func(m *machineState) bool { return p.usable(service, m) })
 	allowed := lo.EveryBy(s.gang.plan, func(m *machineState) bool { return s.advice.allows(m, p.now) })
 	asking := s.advice.inFlight > 0 || len(s.advice.want) > 0
 	if sound && !allowed && asking && p.now < s.gang.planUntil {
--- a/sched/operators_test.go
+++ b/sched/operators_test.go
@@ -125,3 +125,30 @@
 		t.Errorf("%d lines in 10 s, want one each 3 s with the reason:\n%s", lines, out.String())
 	}
 }
+
+// TestQueueMovesToAnotherService guards against a start on a machine of the service
+// that a queue had when the advisor allowed the machine.
+func TestQueueMovesToAnotherService(t *testing.T) {
+	queue := func(name, service string) Queue {
+		return Queue{Name: name, Service: service, MaxAttempts: 2, Stretch: 2, Advice: &Advice{Valid: time.Minute}}
+	}
+	other := worker("b")
+	other.Service = "t"
+	b := newBench(t, []Queue{queue("q", "s"), queue("r", "s")}, worker("a"), other)
+	b.submitTo("r", small(1)) // its turn comes first, so the machines of service s are in the pass
+	moved := b.submit(small(1))
+	b.plan()
+	for {
+		ask, ok := b.e.NextAsk(time.Hour, false, b.now)
+		if !ok {
+			break
+		}
+		b.e.Answered(ask, map[string]string{"a": "ticket", "b": "ticket"}, time.Minute, true, b.now, b.now)
+	}
+	b.e.SetQueues(2, []Queue{queue("q", "t"), queue("r", "s")})
+	for name, id := range b.plan() {
+		if name[:16] == moved && id == "a" {
+			t.Errorf("task %s starts on machine a of service s, its queue belongs to service t", name)
+		}
+	}
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -166,9 +166,12 @@
 	return sp
 }
 
-// usable reports whether m may take work in this pass; the machines of its service
-// must have been listed by service.
-func (p *pass) usable(m *machineState) bool { return m.usableIn == p.number }
+// usable reports whether m may take work of a service in this pass. The service of
+// a queue may have changed since the advisor allowed m.
+func (p *pass) usable(service string, m *machineState) bool {
+	p.service(service) // marks its machines
+	return m.usableIn == p.number && m.spec.Service == service
+}
 
 // allowedMachines returns the machines that s may use if they have room: all of
 // its service, or those that the advisor has allowed at some time.
@@ -180,7 +183,7 @@
 	}
 	out := make([]*machineState, 0, len(s.advice.allowed))
 	for _, m := range s.advice.allowed {
-		if _, ok := s.advice.find(m); ok && p.usable(m) {
+		if _, ok := s.advice.find(m); ok && p.usable(q.Service, m) {
 			out = append(out, m)
 		}
 	}
