Repeat polls at once after a reset, and judge the leader's reach over a time

Cause: half a second's resets of channels failed the last poll of each machine; recordUnanswered counted these, all machines took no new work, and the leader gave up 50 ms later ("does not reach most machines"). Ruled out: machines at fault: the same machines answer the next poll. Change: a poll whose connection broke is repeated at once, up to three times, before the machine counts as unresponsive; the leader is cut off when most machines have been unresponsive for 0.6 s. Test: TestResetConnectionsKeepLeaderAndMachines fails before ("20 machines take no new work"), passes.

--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -57,6 +57,7 @@
 	peers         map[string]*peer              // by address
 	hostList      map[string]sched.Machine      // by machine id; only watchMachines uses it, without mu
 	adviceSenders map[string]*adviceSender      // by address, empty for this daemon
+	reach         machineReach
 
 	planSignal  chan struct{}
 	flushSignal chan struct{}
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
 	"github.com/sassafraslb/sassafraslb/sched"
@@ -26,6 +28,10 @@
 	// only when all machines have answered, and some polls are lost.
 	earlyPollTimeoutSlack, earlyPollRetryWait = 300 * time.Millisecond, 40 * time.Millisecond
 	maxEarlyPolls                             = 3
+	// maxBrokenPolls bounds the polls in a row that are repeated at once because their connection broke.
+	// The machine keeps taking work meanwhile: a reset says nothing about it, and the repetition goes
+	// over another connection. Several may be needed, since all idle connections may have been reset.
+	maxBrokenPolls = 3
 	// maxConcurrentPolls bounds the running polls that do not wait for an end. A new leader polls all
 	// machines: without a bound the answers queue for its processor, polls time out, and their
 	// repetitions add to the load.
@@ -77,6 +83,7 @@
 func (l *leadership) pollMachine(ctx context.Context, id string) {
 	wait := time.Duration(0)
 	unresponsive := false
+	brokenPolls := 0
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		slack, retry := pollTimeoutSlack, pollRetryWait
 		if wait == 0 && attempt <= maxEarlyPolls {
@@ -91,8 +98,12 @@
 				l.logger.Info().Str("event", "dependency_regained").Str("dependency", "machine").Str("machine", id).Send()
 			}
 			unresponsive = false
-			attempt = 0
+			attempt, brokenPolls = 0, 0
 			wait = l.awaitEndsStored(ctx, id)
+		case errkind.Of(err) == errkind.Unreachable && !errors.Is(err, context.DeadlineExceeded) && brokenPolls < maxBrokenPolls && !unresponsive:
+			brokenPolls++
+			wait = 0
+			l.logger.Info().Str("event", "poll_connection_broken").Str("machine", id).Err(err).Send()
 		default:
 			if !unresponsive {
 				l.logger.Warn().Str("event", "dependency_lost").Str("dependency", "machine").Str("machine", id).Err(err).Send()
@@ -179,22 +190,47 @@
 }
 
 // recordUnanswered tells the engine that a machine did not answer a poll. A leader that does not
-// reach most machines after machineReachGrace resigns if there are other daemons.
+// reach most machines resigns if there are other daemons.
 func (l *leadership) recordUnanswered(id string) {
 	l.mu.Lock()
 	l.engine.PollUnanswered(id)
 	unresponsive, all := l.engine.UnresponsiveMachines()
-	others := len(l.peers)
+	now := l.clock()
+	cutOff := l.reach.lost(unresponsive, all, now-l.startedAt, now) && len(l.peers) > 0
 	l.mu.Unlock()
 	notify(l.flushSignal)
-	if others > 0 && unresponsive*2 > all && l.clock()-l.startedAt > machineReachGrace {
+	if cutOff {
 		l.daemon.tenure.Resign("this daemon does not reach most machines")
 	}
 }
 
-// machineReachGrace is how long a new leader has to reach its machines. If more than half of them do
-// not answer after that, the leader itself is considered cut off.
-const machineReachGrace = 2 * time.Second
+const (
+	// machineReachGrace is how long a new leader has to reach its machines. If more than half of them do
+	// not answer after that, the leader itself is considered cut off.
+	machineReachGrace = 2 * time.Second
+	// reachLossPeriod is how long most machines must have been unresponsive before the leader itself is
+	// considered cut off. It is longer than a few polls of machines whose connections were all broken
+	// by one event.
+	reachLossPeriod = 600 * time.Millisecond
+)
+
+// machineReach judges whether a leader is cut off from its machines.
+type machineReach struct {
+	lostSince time.Duration // since when most machines are unresponsive, 0 if they are not
+}
+
+// lost takes into account how many of all machines are unresponsive now, and reports whether most of
+// them have been for reachLossPeriod. It is false for a leader that is younger than machineReachGrace.
+func (r *machineReach) lost(unresponsive, all int, leadingFor, now time.Duration) bool {
+	if unresponsive*2 <= all || leadingFor <= machineReachGrace {
+		r.lostSince = 0
+		return false
+	}
+	if r.lostSince == 0 {
+		r.lostSince = now
+	}
+	return now-r.lostSince >= reachLossPeriod
+}
 
 // recordReplaced tells the engine that another incarnation answers at the address of a machine.
 func (l *leadership) recordReplaced(id string) {
--- a/cell/poll_test.go
+++ b/cell/poll_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
@@ -89,3 +90,82 @@
 		t.Errorf("%d concurrent polls, want at most %d", n, maxConcurrentPolls)
 	}
 }
+
+// resetMachines is a MachineClient whose polls that wait for an end break, all at once, when reset is
+// closed. All other polls are answered.
+type resetMachines struct {
+	lossyMachines
+	reset chan struct{}
+}
+
+func (m *resetMachines) Poll(ctx context.Context, _ sched.Machine, _, _, _ int64, wait time.Duration) (sched.PollResult, error) {
+	if wait > 0 {
+		select {
+		case <-m.reset:
+			if m.polls.Add(1) <= resetMachineCount {
+				return sched.PollResult{}, errkind.New(errkind.Unreachable, "no_answer", "connection reset by peer")
+			}
+		case <-ctx.Done():
+		}
+		<-ctx.Done()
+		return sched.PollResult{}, errkind.Wrap(errkind.Unreachable, "no_answer", ctx.Err())
+	}
+	return sched.PollResult{Born: 1, Clock: 1}, nil
+}
+
+const resetMachineCount = 20
+
+// TestResetConnectionsKeepLeaderAndMachines guards against a leader that takes a reset of all its
+// connections for machines that do not answer: it stopped giving them work, and gave up leadership.
+func TestResetConnectionsKeepLeaderAndMachines(t *testing.T) {
+	machines := &resetMachines{reset: make(chan struct{})}
+	l, ctx := newPollingLeadership(t, machines)
+	l.startedAt -= 2 * machineReachGrace
+	l.peers = map[string]*peer{"b": {name: "b"}}
+	l.recordsStored = make(chan struct{})
+	resigned := false
+	l.daemon.tenure.stopLeading = func() { resigned = true }
+	var list []sched.Machine
+	for i := range resetMachineCount {
+		list = append(list, sched.Machine{ID: fmt.Sprint("m", i), Born: 1, Service: "s"})
+	}
+	l.engine.SetMachines(list, HostClock())
+	for _, m := range list {
+		go l.pollMachine(ctx, m.ID)
+	}
+	time.Sleep(2 * earlyPollTimeoutSlack) // all polls wait for an end
+	close(machines.reset)
+	for range 50 {
+		time.Sleep(2 * time.Millisecond)
+		l.mu.Lock()
+		unresponsive, _ := l.engine.UnresponsiveMachines()
+		l.mu.Unlock()
+		if unresponsive > 0 {
+			t.Fatalf("%d machines take no new work after a reset of their connections", unresponsive)
+		}
+	}
+	l.daemon.tenure.mu.Lock()
+	defer l.daemon.tenure.mu.Unlock()
+	if resigned {
+		t.Error("the leader gave up leadership")
+	}
+}
+
+// TestLeaderIsCutOffWhenMostMachinesStaySilent guards against a leader that gives up leadership at the
+// first failed polls, and against one that never does although it reaches few machines.
+func TestLeaderIsCutOffWhenMostMachinesStaySilent(t *testing.T) {
+	var r machineReach
+	leading := 2 * machineReachGrace
+	if r.lost(30, 48, leading, 10*time.Second) {
+		t.Error("cut off at the first look")
+	}
+	if r.lost(10, 48, leading, 10*time.Second+reachLossPeriod) || r.lost(30, 48, leading, 11*time.Second) {
+		t.Error("cut off although most machines had answered meanwhile")
+	}
+	if !r.lost(30, 48, leading, 11*time.Second+reachLossPeriod) {
+		t.Error("not cut off after reachLossPeriod")
+	}
+	if r.lost(48, 48, machineReachGrace/2, 12*time.Second) {
+		t.Error("a new leader is cut off before it had time to reach its machines")
+	}
+}
