Keep the leader while the log is away for all, and hedge by observed answer times

Cause: two direct calls that timed out ended the leader although no other daemon reached the log; when it was back nobody sent heartbeats. Copies of appends after 120 ms, or three times a slow mean, queued at a log that takes 240 ms for each. Change: no resignation because the log is silent; copies of an append go directly and through other daemons in turn, after the time that answers take (mean and deviation, as in RFC 6298); heartbeats are sent at an interval from send to send.

--- a/cell/claim.go
+++ b/cell/claim.go
@@ -127,12 +127,14 @@
 func (t *Tenure) sendHeartbeats(ctx context.Context, self *Leader) (nextOffset int64, superseded bool) {
 	nextOffset = self.Term                      // the claim is at offset Term-1
 	unanswered := make(map[int64]time.Duration) // send times by heartbeat number
-	for pause.For(ctx, heartbeatInterval) {
+	lastSent := t.cfg.Clock()
+	for pause.For(ctx, max(heartbeatInterval-(t.cfg.Clock()-lastSent), minHeartbeatPause)) {
 		self.Heartbeat++
 		t.mu.Lock()
 		self.StrongestCores = t.leader.StrongestCores
 		t.mu.Unlock()
 		sent := t.cfg.Clock()
+		lastSent = sent
 		unanswered[self.Heartbeat] = sent
 		err := t.append(ctx, *self, nextOffset)
 		if errkind.Of(err) == errkind.Conflict && err != nil {
--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -89,11 +89,6 @@
 	d := &Daemon{settings: settings, logger: settings.Logger, clock: settings.Clock, conns: newConnPool(), newConfig: make(chan struct{}, 1)}
 	d.platformLog = &routedLog{direct: settings.Log, conns: d.conns, clock: settings.Clock, logger: settings.Logger}
 	d.platformLog.onAppendCopy = func() { settings.Metrics.Retries.WithLabelValues("append_copy").Inc() }
-	d.platformLog.onUnresponsive = func() {
-		if d.leadership.Load() != nil {
-			d.tenure.Resign("the log does not answer this daemon")
-		}
-	}
 	d.tenure = NewTenure(TenureConfig{
 		Self:  Leader{Daemon: settings.Name, Incarnation: time.Now().UnixNano(), Address: joinPort(settings.IP, settings.Port)},
 		Cores: settings.Cores, Log: d.platformLog, Clock: settings.Clock, Lead: d.runLeadership, Logger: settings.Logger,
--- /dev/null
+++ b/cell/hedge.go
@@ -0,0 +1,160 @@
+package cell
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+const (
+	// minHedgeDelay is the least wait for the answer to an append before a further copy is sent. The
+	// log answers within a few round trips between regions unless the answer is lost.
+	minHedgeDelay = 120 * time.Millisecond
+	// maxHedgeDelay is the longest wait before a further copy, unless the log is known to take longer.
+	// It bounds the time until a leader sees that a lost log is back.
+	maxHedgeDelay = 300 * time.Millisecond
+	// maxAppendCopies bounds the copies of one append.
+	maxAppendCopies = 4
+)
+
+// Append implements Log. A copy, also through another daemon, is safe: the fence makes the log
+// store an append only once. If the first copy of an append at an offset is stored and its answer
+// is lost, the next copy fails with kind conflict.
+func (r *routedLog) Append(ctx context.Context, s Stream, entries []Entry, f Fence) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the other copies: a connection on which an answer was lost is not used again
+	h := hedge{log: r, call: &logCall{Stream: s, Kind: "append", Entries: entries, Fence: f}, results: make(chan copyResult, maxAppendCopies)}
+	return h.run(ctx)
+}
+
+// hedge is one append of which copies are sent until the log answers one of them.
+type hedge struct {
+	log      *routedLog
+	call     *logCall
+	results  chan copyResult
+	sent     int
+	inFlight int
+	// directSince is when the oldest unanswered direct copy was sent, 0 if there is none.
+	directSince time.Duration
+}
+
+// copyResult is the outcome of one copy of an append.
+type copyResult struct {
+	direct bool
+	took   time.Duration
+	err    error
+}
+
+// run sends copies until the log answers, ctx ends, or all copies have failed. A failure of one copy
+// does not tell the outcome of the others.
+func (h *hedge) run(ctx context.Context) error {
+	delay := h.log.hedgeDelay(h.call.Stream)
+	h.send(ctx)
+	var unknownErr error
+	for {
+		var timer <-chan time.Time
+		if h.sent < maxAppendCopies {
+			timer = time.After(delay)
+		}
+		select {
+		case <-timer:
+			h.send(ctx)
+			delay = max(min(delay*3/2, maxHedgeDelay), delay)
+		case result := <-h.results:
+			h.inFlight--
+			if isLogAnswer(result.err) {
+				h.answered(result)
+				return result.err
+			}
+			if result.direct && ctx.Err() == nil {
+				h.log.recordDirectCall(false)
+			}
+			if errkind.Of(result.err) == errkind.AppendUnknown {
+				unknownErr = result.err
+			}
+			if h.inFlight > 0 {
+				continue
+			}
+			if ctx.Err() == nil && h.sent < maxAppendCopies && (h.log.hasRelay() || result.isBroken()) {
+				h.send(ctx) // nothing is left that could be answered
+				continue
+			}
+			if h.directSince != 0 && ctx.Err() != nil {
+				h.log.recordDirectCall(false)
+			}
+			return cmp.Or(unknownErr, result.err)
+		}
+	}
+}
+
+// isBroken reports whether the connection of a copy broke, so that another one may be answered at once.
+func (c copyResult) isBroken() bool { return errkind.Of(c.err) == errkind.AppendUnknown }
+
+// send starts one copy: the first directly, further ones in turn through another daemon and directly.
+// While the log does not answer direct calls, it is the other way round.
+func (h *hedge) send(ctx context.Context) {
+	direct, relay := h.log.chooseRoute()
+	if h.sent%2 == 1 && relay != "" {
+		direct = !direct
+	}
+	if h.sent > 0 && h.log.onAppendCopy != nil {
+		h.log.onAppendCopy()
+	}
+	h.sent++
+	h.inFlight++
+	began := h.log.clock()
+	if direct && h.directSince == 0 {
+		h.directSince = began
+	}
+	go func() {
+		var err error
+		if direct {
+			err = h.log.direct.Append(ctx, h.call.Stream, h.call.Entries, h.call.Fence)
+		} else {
+			_, err = h.log.callRelay(ctx, relay, h.call)
+		}
+		h.results <- copyResult{direct, h.log.clock() - began, err}
+	}()
+}
+
+// answered takes the first answer into account. If it came through another daemon, a direct copy that
+// was sent long enough before counts as not answered.
+func (h *hedge) answered(result copyResult) {
+	r := h.log
+	switch {
+	case result.direct:
+		r.recordDirectCall(true)
+	case h.directSince != 0 && r.clock()-h.directSince > result.took+minHedgeDelay/2:
+		r.recordDirectCall(false)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.appendTimes == nil {
+		r.appendTimes = make(map[Stream]*responseTimes)
+	}
+	times := r.appendTimes[h.call.Stream]
+	if times == nil {
+		times = &responseTimes{}
+		r.appendTimes[h.call.Stream] = times
+	}
+	times.observe(result.took)
+}
+
+// hedgeDelay returns the wait for the answer to an append to s before its first further copy.
+func (r *routedLog) hedgeDelay(s Stream) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if times := r.appendTimes[s]; times != nil {
+		return max(minHedgeDelay, times.limit())
+	}
+	return minHedgeDelay
+}
+
+// hasRelay reports whether another daemon can relay calls.
+func (r *routedLog) hasRelay() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.relays) > 0
+}
--- a/cell/logroute.go
+++ b/cell/logroute.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -16,46 +15,29 @@
 	// relayPeriod is how long calls go through another daemon after the log did not answer a direct
 	// call.
 	relayPeriod = 1500 * time.Millisecond
-	// directTimeout bounds a direct call, beyond the time that it asks the log to wait, while another
-	// daemon could relay it, and a call that this daemon relays.
+	// directTimeout bounds a direct read, beyond the time that it asks the log to wait, while another
+	// daemon could relay it.
 	directTimeout = 450 * time.Millisecond
-	// minHedgeDelay is the least wait for the answer to an append before a further copy is sent. The
-	// log answers within a few round trips between regions unless the answer is lost.
-	minHedgeDelay = 120 * time.Millisecond
-	// hedgeDelayFactor times the mean duration of an append is the wait while the log is slow.
-	hedgeDelayFactor = 3
-	// maxAppendCopies bounds the copies of one append.
-	maxAppendCopies = 4
-	// appendTimeWeight is the weight of the newest append in the moving average of durations.
-	appendTimeWeight = 0.2
 )
 
 // routedLog is a Log that calls the platform's log directly, and through another daemon while the
-// log does not answer this one. Appends are hedged: copies are sent while no answer comes.
+// log does not answer this one. Appends are hedged: copies are sent while no answer comes, in turn
+// directly and through other daemons.
 type routedLog struct {
 	direct Log
 	conns  *connPool
 	clock  Clock
 	logger zerolog.Logger
 
-	mu             sync.Mutex
-	relays         []string      // addresses of daemons that reach the log
-	relayUntil     time.Duration // until then calls go through a relay, if there is one; 0 if the log answered the last direct call
-	nextRelay      int
-	timeouts       int           // consecutive direct calls that timed out
-	meanAppendTime time.Duration // moving average over direct appends
+	mu          sync.Mutex
+	relays      []string      // addresses of daemons that reach the log
+	relayUntil  time.Duration // until then calls go through a relay, if there is one; 0 if the log answered the last direct call
+	nextRelay   int
+	appendTimes map[Stream]*responseTimes
 	// onAppendCopy, if set, is called for each further copy of an append.
 	onAppendCopy func()
-	// onUnresponsive, if set, is called when the log does not answer this daemon at all, while other
-	// daemons may reach it.
-	onUnresponsive func()
 }
 
-// maxTimeouts is the number of consecutive direct calls that time out before the log counts as
-// unresponsive. A call that the log answers, or that fails before its timeout because it is refused,
-// resets the count.
-const maxTimeouts = 2
-
 // reachesLog reports whether the log answered the last direct call of this daemon. It is true before
 // the first one.
 func (r *routedLog) reachesLog() bool {
@@ -85,23 +67,14 @@
 	return r.clock() >= r.relayUntil || relay == "", relay
 }
 
-// recordDirectCall takes the outcome of a direct call into account: whether the log answered, and
-// if not, whether the call timed out.
-func (r *routedLog) recordDirectCall(answered, timedOut bool) {
+// recordDirectCall takes into account whether the log answered a direct call.
+func (r *routedLog) recordDirectCall(answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if answered {
-		r.relayUntil, r.timeouts = 0, 0
+		r.relayUntil = 0
 		return
 	}
-	if timedOut {
-		r.timeouts++
-	} else {
-		r.timeouts = 0
-	}
-	if r.timeouts == maxTimeouts && len(r.relays) > 0 && r.onUnresponsive != nil {
-		go r.onUnresponsive()
-	}
 	if r.relayUntil == 0 && len(r.relays) > 0 {
 		r.logger.Warn().Str("event", "log_through_relays").Int("relays", len(r.relays)).Send()
 	}
@@ -120,9 +93,9 @@
 	return false
 }
 
-// call makes one call to the log. It uses direct, unless there is a relay and the log did not answer a
-// direct call within the last relayPeriod. If direct is not used, or the log does not answer it, the
-// relay makes the call, if there is one.
+// call makes one call to the log that may be repeated by another daemon. It uses direct, unless there
+// is a relay and the log did not answer a direct call within the last relayPeriod. If direct is not
+// used, or the log does not answer it, the relay makes the call, if there is one.
 func (r *routedLog) call(ctx context.Context, c *logCall, direct func(context.Context) (Page, error)) (Page, error) {
 	useDirect, relay := r.chooseRoute()
 	if useDirect {
@@ -131,12 +104,11 @@
 			limited, cancel = context.WithTimeout(ctx, c.Wait+directTimeout)
 		}
 		page, err := direct(limited)
-		timedOut := limited.Err() != nil
 		cancel()
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return page, err
 		}
-		r.recordDirectCall(isLogAnswer(err), timedOut)
+		r.recordDirectCall(isLogAnswer(err))
 		if isLogAnswer(err) || ctx.Err() != nil {
 			return page, err
 		}
@@ -144,6 +116,11 @@
 			return page, err
 		}
 	}
+	return r.callRelay(ctx, relay, c)
+}
+
+// callRelay makes one call to the log through another daemon.
+func (r *routedLog) callRelay(ctx context.Context, relay string, c *logCall) (Page, error) {
 	out, err := r.conns.call(ctx, relay, rpcLog, &call{Log: c})
 	if err != nil && errkind.Of(err) == errkind.OutcomeUnknown && c.Kind == "append" {
 		return Page{}, errkind.Wrap(errkind.AppendUnknown, "relay_silent", err)
@@ -157,73 +134,6 @@
 	return *out.Page, err
 }
 
-// Append implements Log. A copy, also through another daemon, is safe: the fence makes the log
-// store an append only once. If the first copy of an append at an offset is stored and its answer
-// is lost, the next copy fails with kind conflict.
-func (r *routedLog) Append(ctx context.Context, s Stream, entries []Entry, f Fence) error {
-	_, err := r.call(ctx, &logCall{Stream: s, Kind: "append", Entries: entries, Fence: f}, func(ctx context.Context) (Page, error) {
-		return Page{}, r.hedge(ctx, func(ctx context.Context) error { return r.direct.Append(ctx, s, entries, f) })
-	})
-	return err
-}
-
-// hedge makes a repeatable call, and starts further copies of it while no answer comes. It returns
-// the first answer of the log, or an error once all running copies have failed.
-func (r *routedLog) hedge(ctx context.Context, call func(context.Context) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // ends the other copies: a connection on which an answer was lost is not used again
-	r.mu.Lock()
-	wait := max(minHedgeDelay, hedgeDelayFactor*r.meanAppendTime)
-	r.mu.Unlock()
-	results := make(chan error, maxAppendCopies)
-	sent := 0
-	send := func() {
-		sent++
-		began := r.clock()
-		go func() {
-			err := call(ctx)
-			if isLogAnswer(err) {
-				r.observeAppend(r.clock() - began)
-			}
-			results <- err
-		}()
-	}
-	send()
-	var unknownErr error
-	for inFlight := 1; ; {
-		var hedgeTimer <-chan time.Time
-		if sent < maxAppendCopies {
-			hedgeTimer = time.After(wait)
-		}
-		select {
-		case err := <-results:
-			inFlight--
-			if isLogAnswer(err) {
-				return err
-			}
-			if errkind.Of(err) == errkind.AppendUnknown {
-				unknownErr = err
-			}
-			if inFlight == 0 {
-				return cmp.Or(unknownErr, err) // the failure of one copy does not tell the outcome of the others
-			}
-		case <-hedgeTimer:
-			if r.onAppendCopy != nil {
-				r.onAppendCopy()
-			}
-			send()
-			inFlight++
-		}
-	}
-}
-
-// observeAppend adds the duration of an append to the moving average.
-func (r *routedLog) observeAppend(took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.meanAppendTime += time.Duration(appendTimeWeight * float64(took-r.meanAppendTime))
-}
-
 // Read implements Log.
 func (r *routedLog) Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error) {
 	return r.call(ctx, &logCall{Stream: s, Kind: "read", From: from, Wait: wait}, func(ctx context.Context) (Page, error) {
@@ -244,7 +154,7 @@
 
 // serveLog relays a call to the log for another daemon.
 func serveLog(ctx context.Context, direct Log, c *logCall) (*reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+directTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+logTimeout)
 	defer cancel()
 	var page Page
 	var err error
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// heartbeatInterval is the interval of the leader's heartbeats in the log. Each costs one append,
-	// and one read by every daemon.
+	// heartbeatInterval is the interval at which the leader sends heartbeats to the log. Each costs one
+	// append, and one read by every daemon. The next one is sent after the answer to the last, so a log
+	// that takes longer than that gets fewer.
 	heartbeatInterval = 200 * time.Millisecond
+	// minHeartbeatPause is the least pause between the answer to a heartbeat and the next one.
+	minHeartbeatPause = 20 * time.Millisecond
 	// tenureDuration is how long a leader may give orders after it sent a heartbeat that was stored.
 	tenureDuration = 700 * time.Millisecond
 	// takeoverAfter is the least time without a heartbeat in a readable log after which a daemon claims
