Choose waits and Retry-After by the time that a caller has left

Hypothesis: callers have 3 s over all their tries; Retry-After up to 3 s sends them past their own end, and a submission with an unknown outcome was answered after 1.2 s although most callers cannot send it again. Seen: X-Deadline-Ms falls with each try, so it is what is left; callers come back about 1 s after a refusal. Change: Retry-After stays within the time left; the last try that fits is held to its end; a submission that was sent to the log waits for its outcome. The reason log_lost tells an outage from a change of the leader.

--- a/cell/leadercalls.go
+++ b/cell/leadercalls.go
@@ -12,19 +12,12 @@
 	// submitLeaderWait is how long a submission waits for a leader before the caller is told to
 	// retry later. Most changes of the leader are over by then.
 	submitLeaderWait = 1000 * time.Millisecond
-	// submitTimeout bounds a submission. If its outcome is not known by then, the caller learns that
-	// early enough in its deadline to send the same job again.
-	submitTimeout = 1200 * time.Millisecond
 	// queryLeaderWait is how long status queries and cancellations wait for a leader. It is longer
 	// than submitLeaderWait, since they are answered as soon as a change of the leader is over.
 	queryLeaderWait = 1500 * time.Millisecond
 	// leaderCallTimeout bounds one call to the leader. A change of a job is stored within it unless the
-	// log is slow. A submission ends earlier, with submitTimeout.
+	// log is slow; the call is then made again.
 	leaderCallTimeout = 1500 * time.Millisecond
-	// deadlineReserve is the time before the caller's deadline in which no further call is made
-	// after a definite refusal. Its answer could come too late, and then the outcome of a request
-	// that no daemon has accepted would count as unknown.
-	deadlineReserve = 150 * time.Millisecond
 	// leaderRetryWait is the wait before the leader is called again, unless a new leader is known
 	// earlier.
 	leaderRetryWait = 60 * time.Millisecond
@@ -34,19 +27,22 @@
 // are not stored any more.
 const reasonTenureOver = "tenure_over"
 
+// reasonLogLost is the reason of a refusal because the leader's tenure has ended and the log answers it
+// on no way.
+const reasonLogLost = "log_lost"
+
 // Submit sends a job to the leader and returns nil once it is stored. An error of kind
 // outcome_unknown means that the job may be stored; any other error means that it is not stored and
-// never runs.
+// never runs. The deadline of ctx is taken for the end of the caller's time: a caller that cannot
+// return within it waits here, see patience.
 func (d *Daemon) Submit(ctx context.Context, job *sched.Job) error {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	_, err := d.callLeader(ctx, rpcSubmit, &call{Job: job}, submitLeaderWait)
+	_, err := d.callLeader(ctx, rpcSubmit, &call{Job: job}, patience{maxWait: submitLeaderWait, holdLast: true})
 	return err
 }
 
 // State returns the state of a job, and false if there is no such job.
 func (d *Daemon) State(ctx context.Context, id string) (sched.JobState, bool, error) {
-	out, err := d.callLeader(ctx, rpcState, &call{ID: id}, queryLeaderWait)
+	out, err := d.callLeader(ctx, rpcState, &call{ID: id}, patience{maxWait: queryLeaderWait})
 	if err != nil {
 		return "", false, err
 	}
@@ -55,7 +51,7 @@
 
 // Cancel cancels a job and returns once that is stored. It reports false if there is no such job.
 func (d *Daemon) Cancel(ctx context.Context, id string) (bool, error) {
-	out, err := d.callLeader(ctx, rpcCancel, &call{ID: id}, queryLeaderWait)
+	out, err := d.callLeader(ctx, rpcCancel, &call{ID: id}, patience{maxWait: queryLeaderWait})
 	if err != nil {
 		return false, err
 	}
@@ -78,11 +74,10 @@
 }
 
 // callLeader calls the leader, and calls again, or calls its successor, while the answer is lost, or
-// the called daemon is not reachable or not ready to lead; other errors are returned at once. It stops
-// after maxWait or near the deadline of ctx if no call could have had an effect, and otherwise when
-// ctx ends. The error is of kind outcome_unknown if a call could have had an effect. Repeated calls
-// are safe, since a job is identified by its id.
-func (d *Daemon) callLeader(ctx context.Context, path string, c *call, maxWait time.Duration) (*reply, error) {
+// the called daemon is not reachable or not ready to lead; other errors are returned at once. If no
+// call could have had an effect, p decides when it stops; otherwise it stops when ctx ends, and the
+// error is of kind outcome_unknown. Repeated calls are safe, since a job is identified by its id.
+func (d *Daemon) callLeader(ctx context.Context, path string, c *call, p patience) (*reply, error) {
 	began := d.clock()
 	var unknownErr error
 	for {
@@ -102,13 +97,10 @@
 			}
 			return nil, err
 		}
-		if errkind.ReasonOf(err) == reasonTenureOver && !d.platformLog.reachesLog() {
-			maxWait = 0 // neither the leader nor this daemon reaches the log: nothing can be stored now
+		if unknownErr != nil && ctx.Err() != nil {
+			return nil, errkind.Wrap(errkind.OutcomeUnknown, "leader_silent", unknownErr)
 		}
-		if ctx.Err() != nil || (unknownErr == nil && (d.clock()-began >= maxWait || nearDeadline(ctx))) {
-			if unknownErr != nil {
-				return nil, errkind.Wrap(errkind.OutcomeUnknown, "leader_silent", unknownErr)
-			}
+		if unknownErr == nil && (ctx.Err() != nil || p.isOver(d.clock()-began, timeLeft(ctx), d.isLogLost(err))) {
 			return nil, err
 		}
 		select {
@@ -122,11 +114,16 @@
 	}
 }
 
-// nearDeadline reports whether less than deadlineReserve would be left after a pause of
-// leaderRetryWait.
-func nearDeadline(ctx context.Context) bool {
-	at, ok := ctx.Deadline()
-	return ok && time.Until(at) < leaderRetryWait+deadlineReserve
+// isLogLost reports whether nothing can be stored now: the leader refused a call with err because its
+// tenure is over, and it reaches the log neither directly nor through another daemon.
+func (d *Daemon) isLogLost(err error) bool {
+	switch errkind.ReasonOf(err) {
+	case reasonLogLost:
+		return true
+	case reasonTenureOver:
+		return !d.platformLog.reachesLog()
+	}
+	return false
 }
 
 // callLeaderOnce makes one call to the known leader. It abandons a call to another daemon when changed
@@ -164,11 +161,20 @@
 		return nil, errkind.New(errkind.NotOwner, "not_leading", "this daemon does not lead the cell")
 	}
 	if !d.tenure.Held() {
-		return nil, errkind.New(errkind.NotReady, reasonTenureOver, "the leader's tenure is not confirmed")
+		return nil, d.tenureOver("the leader's tenure is not confirmed")
 	}
 	return l, nil
 }
 
+// tenureOver returns the refusal of a call because this leader's tenure has ended.
+func (d *Daemon) tenureOver(detail string) error {
+	reason := reasonTenureOver
+	if d.tenure.logOutage() > 0 {
+		reason = reasonLogLost
+	}
+	return errkind.New(errkind.NotReady, reason, "%s", detail)
+}
+
 func (d *Daemon) handleSubmit(ctx context.Context, c *call) (*reply, error) {
 	l, err := d.confirmedLeadership()
 	if err != nil {
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -182,7 +182,7 @@
 		l.mu.Unlock()
 		if withdrawn {
 			l.logger.Info().Str("event", "job_withdrawn").Str("job", job.ID).Str("queue", job.Queue).Send()
-			return errkind.New(errkind.NotReady, reasonTenureOver, "the leader's tenure ended before the job was stored")
+			return l.daemon.tenureOver("the leader's tenure ended before the job was stored")
 		}
 	}
 }
--- /dev/null
+++ b/cell/patience.go
@@ -0,0 +1,91 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
+)
+
+const (
+	// minRetrySeconds and maxRetrySeconds bound the wait that callers are told. Most changes of the
+	// leader are over after one second; callers give up after a few attempts, so a longer wait lets
+	// them outlast a longer outage.
+	minRetrySeconds, maxRetrySeconds = 1, 3
+	// backlogFullRetrySeconds is the wait that callers are told while the backlog is full.
+	backlogFullRetrySeconds = 2
+	// objectiveDivisor gives the share of a job's time objective, one in so many, that a wait may
+	// take, so that several attempts fit into the objective and callers of short jobs retry first.
+	objectiveDivisor = 5
+	// minAttemptTime is the part of a caller's time that an attempt needs: to arrive, to be stored and
+	// to be answered.
+	minAttemptTime = 300 * time.Millisecond
+	// deadlineReserve is the time before the caller's deadline in which no further call is made
+	// after a definite refusal. Its answer could come too late, and then the outcome of a request
+	// that no daemon has accepted would count as unknown.
+	deadlineReserve = 150 * time.Millisecond
+)
+
+// patience decides how long a request that no daemon can take now waits for a leader. It answers two
+// loads: the requests of one second while the leader changes, and those of some seconds while the log
+// is lost. Waiting costs a caller nothing if it is served in the end; a refusal costs it at least
+// minRetrySeconds.
+type patience struct {
+	// maxWait is how long a request waits during a change of the leader. While the log is lost it does
+	// not wait: how long that takes cannot be known, and the caller can return.
+	maxWait time.Duration
+	// holdLast lets a request wait to the end of its caller's time if the caller has no time to return
+	// after a refusal. It is refused, definitely, before that time ends.
+	holdLast bool
+}
+
+// isOver reports whether a request that has waited for some time, and whose caller has so much time
+// left, is refused now. logLost means that nothing can be stored now. A caller without a deadline can
+// always return.
+func (p patience) isOver(waited, left time.Duration, logLost bool) bool {
+	if left < leaderRetryWait+deadlineReserve {
+		return true
+	}
+	if p.holdLast && !canReturn(left) {
+		return false
+	}
+	return logLost || waited >= p.maxWait
+}
+
+// canReturn reports whether a caller that is refused now can wait for minRetrySeconds and try again.
+func canReturn(left time.Duration) bool {
+	return left >= minRetrySeconds*time.Second+minAttemptTime
+}
+
+// noDeadline stands for the time left to a caller without a deadline.
+const noDeadline = time.Hour
+
+// timeLeft returns the time until the deadline of ctx, noDeadline if it has none.
+func timeLeft(ctx context.Context) time.Duration {
+	if at, ok := ctx.Deadline(); ok {
+		return time.Until(at)
+	}
+	return noDeadline
+}
+
+// RetryAfter returns after how many whole seconds the caller of a job that was refused with err
+// should retry. objective is the time in which the job should be done, outage is how long the log has
+// not answered, and left is the time that the caller has. While the log is lost, jobs with a long
+// objective wait longer: they lose nothing, and their callers retry after those of short jobs when an
+// outage is over. The wait then also grows with the outage, since callers have few attempts and an
+// outage that has lasted for some seconds may last as long again. No caller is told to return when it
+// has no time left for an attempt, if a wait of minRetrySeconds avoids that.
+func RetryAfter(err error, objective, outage, left time.Duration) int {
+	seconds := minRetrySeconds
+	switch reason := errkind.ReasonOf(err); {
+	case errkind.Of(err) == errkind.Overloaded:
+		seconds = backlogFullRetrySeconds
+	case reason == reasonTenureOver || reason == reasonLogLost:
+		seconds = min(int(max(objective/objectiveDivisor, outage)/time.Second), maxRetrySeconds)
+	}
+	return max(min(seconds, int((left-minAttemptTime)/time.Second)), minRetrySeconds)
+}
+
+// LogOutage returns how long the log has not answered this daemon, 0 if the last call was answered or
+// none ever was.
+func (d *Daemon) LogOutage() time.Duration { return d.tenure.logOutage() }
