Store open submissions before a planned stop of the leader

Cause: SIGTERM ended the term at once; the append in flight was abandoned, and its submissions ended as unknown (504). A heartbeat in flight made the resignation fail, so that the others waited for further heartbeats. Change: the leader takes no new changes, stores those that it has taken (1.5 s at most), awaits the heartbeat in flight, then resigns. Tests: TestPlannedStopStoresOpenChanges, TestResignationFollowsHeartbeatInFlight.

--- a/cell/claim.go
+++ b/cell/claim.go
@@ -112,7 +112,7 @@
 	self.Heartbeat++
 	resignCtx, cancelResign := context.WithTimeout(context.WithoutCancel(ctx), 2*logTimeout)
 	defer cancelResign()
-	if !t.appendResolved(resignCtx, self, nextOffset) {
+	if !t.appendResignation(resignCtx, self, nextOffset) {
 		t.cfg.Logger.Warn().Str("event", "farewell_not_stored").Int64("term", term).Send()
 	}
 	t.mu.Lock()
@@ -122,6 +122,21 @@
 	}
 }
 
+// appendResignation appends the resignation at an offset, or, if heartbeats of this term are stored
+// there whose answers were lost, after them. It reports whether the resignation is known to be stored.
+func (t *Tenure) appendResignation(ctx context.Context, self Leader, offset int64) bool {
+	for ctx.Err() == nil {
+		if t.appendResolved(ctx, self, offset) {
+			return true
+		}
+		before := offset
+		if _, superseded := t.readNewEntries(ctx, self.Term, &offset); superseded || offset == before {
+			return false
+		}
+	}
+	return false
+}
+
 // sendHeartbeats appends heartbeats until ctx ends or a later term is found, and updates self to the
 // last one sent. It returns the offset of the next append, and whether a later term was claimed.
 func (t *Tenure) sendHeartbeats(ctx context.Context, self *Leader) (nextOffset int64, superseded bool) {
@@ -136,10 +151,11 @@
 		sent := t.cfg.Clock()
 		lastSent = sent
 		unanswered[self.Heartbeat] = sent
-		err := t.append(ctx, *self, nextOffset)
+		// The answer is awaited also if ctx ends: the resignation needs the offset after this heartbeat.
+		err := t.append(context.WithoutCancel(ctx), *self, nextOffset)
 		if errkind.Of(err) == errkind.Conflict && err != nil {
 			// Either a heartbeat whose answer was lost is stored, or another daemon has claimed leadership.
-			lastHeartbeat, superseded := t.readNewEntries(ctx, self.Term, &nextOffset)
+			lastHeartbeat, superseded := t.readNewEntries(context.WithoutCancel(ctx), self.Term, &nextOffset)
 			if superseded {
 				return nextOffset, true
 			}
--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -255,5 +255,15 @@
 	return nil
 }
 
-// Resign ends this daemon's leadership, if it leads, and delays its next claim.
-func (d *Daemon) Resign() { d.tenure.Resign("this daemon stops") }
+// openChangesLimit bounds how long a daemon that is asked to give up leadership goes on storing the
+// changes of jobs that it has taken. It is a few appends to a slow log.
+const openChangesLimit = 1500 * time.Millisecond
+
+// Resign ends this daemon's leadership, if it leads, and delays its next claim. The leader first takes
+// no new changes of jobs, and stores those that it has taken, so that their callers learn the outcome.
+func (d *Daemon) Resign() {
+	if l := d.leadership.Load(); l != nil {
+		l.finishChanges(openChangesLimit)
+	}
+	d.tenure.Resign("this daemon stops")
+}
--- a/cell/hedge_test.go
+++ b/cell/hedge_test.go
@@ -83,10 +83,11 @@
 	l.turn.Lock()
 	defer l.turn.Unlock()
 	time.Sleep(l.delay) // also for calls that have ended: the log has received them
+	err := l.memoryLog.Append(ctx, s, entries, f)
 	if ctx.Err() != nil {
 		return errkind.Wrap(errkind.AppendUnknown, "no_answer", ctx.Err())
 	}
-	return l.memoryLog.Append(ctx, s, entries, f)
+	return err
 }
 
 // TestSlowLogGetsFewCopies guards against copies of appends that queue at a slow log, so that it takes
--- a/cell/leadercalls.go
+++ b/cell/leadercalls.go
@@ -183,6 +183,10 @@
 	if c.Job == nil {
 		return nil, errkind.New(errkind.BadInput, "no_job", "the request has no job")
 	}
+	if !l.changes.enter() {
+		return nil, errLeaderLeaves()
+	}
+	defer l.changes.leave()
 	return &reply{}, l.submit(ctx, c.Job)
 }
 
@@ -200,10 +204,20 @@
 	if err != nil {
 		return nil, err
 	}
+	if !l.changes.enter() {
+		return nil, errLeaderLeaves()
+	}
+	defer l.changes.leave()
 	known, err := l.cancel(ctx, c.ID)
 	return &reply{Known: known}, err
 }
 
+// errLeaderLeaves returns the refusal of a change by a leader that is about to resign. The caller
+// repeats it at the successor.
+func errLeaderLeaves() error {
+	return errkind.New(errkind.NotOwner, "leader_leaves", "this daemon is about to give up leadership")
+}
+
 func (d *Daemon) handleRegister(_ context.Context, c *call) (*reply, error) {
 	l := d.leadership.Load()
 	if l == nil {
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -58,6 +58,7 @@
 	hostList      map[string]sched.Machine      // by machine id; only watchMachines uses it, without mu
 	adviceSenders map[string]*adviceSender      // by address, empty for this daemon
 	reach         machineReach
+	changes       openChanges
 
 	planSignal  chan struct{}
 	flushSignal chan struct{}
@@ -255,9 +256,9 @@
 
 // planOnce makes one planning pass of the engine, refreshes the known daemons and the gauges, and
 // starts goroutines that send the resulting orders and advice requests. It does nothing while the
-// tenure is not held.
+// tenure is not held, or when the leader is about to resign.
 func (l *leadership) planOnce(ctx context.Context, group *sync.WaitGroup) {
-	if !l.daemon.tenure.Held() {
+	if !l.daemon.tenure.Held() || l.changes.isClosed() {
 		return
 	}
 	l.mu.Lock()
