Read the job state while the log sets the fence

Hypothesis: at a log that takes 140 ms for an answer, fence, pages and host list one after the other cost the takeover half a second. Change: pages and host list are read beside the fence; what former leaders stored meanwhile is read after it.

--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -6,13 +6,19 @@
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
-// watchMachines follows the host list until ctx ends, and hands it to the engine after each change.
+// watchMachines follows the host list until ctx ends. Once the engine has the job state, it hands the
+// list to the engine, and again after each change.
 func (l *leadership) watchMachines(ctx context.Context) {
 	w := &watcher{
 		log: l.daemon.platformLog, stream: StreamMachines, readWait: hostListReadWait, batchPause: hostListBatchPause, logger: l.logger,
 		reset: func() { clear(l.hostList) },
 		apply: l.applyMachine,
 		done: func() {
+			select {
+			case <-l.restored:
+			case <-ctx.Done():
+				return
+			}
 			list := make([]sched.Machine, 0, len(l.hostList))
 			for _, m := range l.hostList {
 				list = append(list, m)
--- a/cell/journal.go
+++ b/cell/journal.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
@@ -10,31 +12,94 @@
 )
 
 // takeOver makes the log refuse appends of former leaders, and returns the records that they
-// have stored. It reports false if ctx ends or a later term has taken over.
+// have stored. It reports false if ctx ends or a later term has taken over. The records are read while
+// the log sets the fence; those that a former leader has stored meanwhile are read after it.
 func (l *leadership) takeOver(ctx context.Context) ([]sched.Record, bool) {
+	log := l.daemon.platformLog
+	pages := make(chan Page, 1)
+	go func() {
+		page, _ := readAllNewest(ctx, log, StreamState, l.logger) // incomplete only if ctx ends
+		pages <- page
+	}()
+	if !l.fenceFormerLeaders(ctx) {
+		return nil, false
+	}
+	page := <-pages
+	for ctx.Err() == nil {
+		newer, err := readRest(ctx, log, StreamState, page.End)
+		if err == nil {
+			return mergeRecords(page.Entries, newer), true
+		}
+		l.logger.Warn().Str("event", "takeover_retried").Err(err).Send()
+		if errkind.Of(err) != errkind.NotFound {
+			pause.For(ctx, restoreRetryWait)
+			continue
+		}
+		page, _ = readAllNewest(ctx, log, StreamState, l.logger) // the entries after the pages have expired
+	}
+	return nil, false
+}
+
+// fenceFormerLeaders makes the log refuse appends of former leaders. It reports false if ctx ends or a
+// later term has taken over.
+func (l *leadership) fenceFormerLeaders(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, logTimeout)
 		err := l.daemon.platformLog.Append(limited, StreamState, nil, Fence{Epoch: l.term, Sequence: 0})
 		cancel()
 		if err == nil {
-			break
+			return true
 		}
 		if errkind.Of(err) == errkind.StaleEpoch {
 			l.logger.Warn().Str("event", "takeover_fenced").Err(err).Send()
-			return nil, false
+			return false
 		}
 		l.logger.Warn().Str("event", "takeover_retried").Err(err).Send()
 		pause.For(ctx, restoreRetryWait)
 	}
-	page, ok := readAllNewest(ctx, l.daemon.platformLog, StreamState, l.logger)
-	if !ok {
-		return nil, false
+	return false
+}
+
+// readRest returns all entries of a stream from an offset on.
+func readRest(ctx context.Context, log Log, s Stream, from int64) ([]Entry, error) {
+	var out []Entry
+	for {
+		limited, cancel := context.WithTimeout(ctx, newestWait+logTimeout)
+		page, err := log.Read(limited, s, from, 0)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, page.Entries...)
+		if len(page.Entries) > 0 {
+			from = page.Entries[len(page.Entries)-1].Offset + 1
+		}
+		if len(page.Entries) == 0 || from >= page.End {
+			return out, nil
+		}
+	}
+}
+
+// mergeRecords returns the newest record of each key, in the order of keys: the entries of newer, in
+// their order, replace the others and each other. An entry without a value deletes its key.
+func mergeRecords(newest, newer []Entry) []sched.Record {
+	replaced := make(map[string]int, len(newer)) // index of the last entry in newer, by key
+	for i, e := range newer {
+		replaced[e.Key] = i
 	}
-	records := make([]sched.Record, 0, len(page.Entries))
-	for _, e := range page.Entries {
-		records = append(records, sched.Record{Key: e.Key, Value: e.Value})
+	records := make([]sched.Record, 0, len(newest)+len(newer))
+	for _, e := range newest {
+		if _, ok := replaced[e.Key]; !ok {
+			records = append(records, sched.Record{Key: e.Key, Value: e.Value})
+		}
+	}
+	for i, e := range newer {
+		if replaced[e.Key] == i && len(e.Value) > 0 {
+			records = append(records, sched.Record{Key: e.Key, Value: e.Value})
+		}
 	}
-	return records, true
+	slices.SortFunc(records, func(a, b sched.Record) int { return strings.Compare(a.Key, b.Key) })
+	return records
 }
 
 // storeRecords appends the engine's changed records to the log until ctx ends. If records cannot
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -52,6 +52,7 @@
 
 	mu            sync.Mutex
 	engine        *sched.Engine
+	restored      chan struct{}                 // closed when the engine has the job state
 	recordsStored chan struct{}                 // closed and replaced when records have been stored
 	pollCancels   map[string]context.CancelFunc // stop the pollers, by machine id
 	peers         map[string]*peer              // by address
@@ -71,13 +72,18 @@
 	leader := Leader{Term: term}
 	logger := d.logger.With().Int64("term", term).Logger()
 	l := &leadership{
-		daemon: d, term: term, logger: logger, clock: d.clock, recordsStored: make(chan struct{}),
+		daemon: d, term: term, logger: logger, clock: d.clock, restored: make(chan struct{}), recordsStored: make(chan struct{}),
 		pollCancels: make(map[string]context.CancelFunc), peers: make(map[string]*peer), hostList: make(map[string]sched.Machine),
 		adviceSenders: make(map[string]*adviceSender),
 		planSignal:    make(chan struct{}, 1), flushSignal: make(chan struct{}, 1), pollSlots: make(chan struct{}, maxConcurrentPolls),
 	}
 	began := d.clock()
 	l.startedAt = began
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() { l.watchMachines(ctx) }) // reads the host list while the job state is read
 	records, ok := l.takeOver(ctx)
 	if !ok {
 		return
@@ -91,6 +97,7 @@
 	l.engine = sched.New(cfg, began)
 	l.setConfig(config)
 	l.engine.Restore(records, d.clock(), time.Now())
+	close(l.restored)
 	d.leadership.Store(l)
 	d.settings.Metrics.Leading.Set(1)
 	defer d.relaxGC()()
@@ -102,8 +109,6 @@
 		d.settings.Metrics.WaitingSteps.Set(0)
 		logger.Info().Str("event", "leading_ended").Send()
 	}()
-	var group sync.WaitGroup
-	group.Go(func() { l.watchMachines(ctx) })
 	group.Go(func() { l.runPlanning(ctx, &group) })
 	group.Go(func() { l.storeRecords(ctx) })
 	l.runPollers(ctx, &group)
