Name the successors of the leader, and shorten its tenure to what the log allows

Hypothesis: a takeover costs 1.05 to 1.43 s: 0.85 s of silence, up to 0.15 s of spread, 12 round trips, and 0.5 s until a daemon notices that a lost log is back. Change: heartbeats name three successors, which claim one after the other; a heartbeat says how long its tenure lasts (450 ms, up to 700 ms at a slow log); daemons that are not named read several heartbeats at once; reads of a lost log have short timeouts. The inequality that keeps it safe stands at type succession.

--- a/cell/claim.go
+++ b/cell/claim.go
@@ -17,6 +17,8 @@
 	self.Term = offset + 1
 	t.mu.Lock()
 	self.StrongestCores = max(t.leader.StrongestCores, t.cfg.Cores) // until the others have registered
+	self.Successors = t.leader.Successors                           // likewise
+	self.TenureMillis = max(t.leader.tenure(), tenureFor(t.logRoundTrip)).Milliseconds()
 	t.mu.Unlock()
 	t.cfg.Logger.Info().Str("event", "leadership_claimed").Int64("term", self.Term).Send()
 	sent := t.cfg.Clock()
@@ -27,7 +29,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.setLeader(self)
-	t.validUntil = sent + tenureDuration
+	t.validUntil = sent + self.tenure()
 	return self.Term, true
 }
 
@@ -141,16 +143,17 @@
 // last one sent. It returns the offset of the next append, and whether a later term was claimed.
 func (t *Tenure) sendHeartbeats(ctx context.Context, self *Leader) (nextOffset int64, superseded bool) {
 	nextOffset = self.Term                      // the claim is at offset Term-1
-	unanswered := make(map[int64]time.Duration) // send times by heartbeat number
+	unanswered := make(map[int64]time.Duration) // ends of the tenure that they give, by heartbeat number
 	lastSent := t.cfg.Clock()
 	for pause.For(ctx, max(heartbeatInterval-(t.cfg.Clock()-lastSent), minHeartbeatPause)) {
 		self.Heartbeat++
 		t.mu.Lock()
-		self.StrongestCores = t.leader.StrongestCores
+		self.StrongestCores, self.Successors = t.leader.StrongestCores, t.leader.Successors
+		self.TenureMillis = tenureFor(t.heartbeatTimes.limit()).Milliseconds()
 		t.mu.Unlock()
-		sent := t.cfg.Clock()
-		lastSent = sent
-		unanswered[self.Heartbeat] = sent
+		lastSent = t.cfg.Clock()
+		until := lastSent + self.tenure()
+		unanswered[self.Heartbeat] = until
 		// The answer is awaited also if ctx ends: the resignation needs the offset after this heartbeat.
 		err := t.append(context.WithoutCancel(ctx), *self, nextOffset)
 		if errkind.Of(err) == errkind.Conflict && err != nil {
@@ -159,8 +162,8 @@
 			if superseded {
 				return nextOffset, true
 			}
-			if sentAt, ok := unanswered[lastHeartbeat]; ok {
-				t.extendTenure(sentAt, self.Term)
+			if until, ok := unanswered[lastHeartbeat]; ok {
+				t.extendTenure(until, self.Term)
 			}
 			continue
 		}
@@ -172,19 +175,22 @@
 		}
 		nextOffset++
 		clear(unanswered)
-		t.extendTenure(sent, self.Term)
+		t.mu.Lock()
+		t.heartbeatTimes.observe(t.cfg.Clock() - lastSent)
+		t.mu.Unlock()
+		t.extendTenure(until, self.Term)
 	}
 	return nextOffset, false
 }
 
-// extendTenure extends this daemon's tenure after a heartbeat sent at the given time was stored.
-func (t *Tenure) extendTenure(sent time.Duration, term int64) {
+// extendTenure extends this daemon's tenure after a heartbeat was stored that gives it until that time.
+func (t *Tenure) extendTenure(until time.Duration, term int64) {
 	t.mu.Lock()
 	now := t.cfg.Clock()
 	if now >= t.validUntil {
 		t.cfg.Logger.Warn().Str("event", "tenure_resumed").Int64("term", term).Int64("gap_ms", (now - t.validUntil).Milliseconds()).Send()
 	}
-	t.validUntil = max(t.validUntil, sent+tenureDuration)
+	t.validUntil = max(t.validUntil, until)
 	t.mu.Unlock()
 	t.setLogReachable(true, nil)
 }
--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -244,6 +244,7 @@
 	defer cancel()
 	out, err := d.conns.call(ctx, l.Address, rpcRegister, &call{
 		Daemon: d.settings.Name, Address: joinPort(d.settings.IP, d.settings.Port), ReachesLog: d.platformLog.reachesLog(), Cores: d.settings.Cores,
+		LogRoundTripMicros: d.tenure.LogRoundTrip().Microseconds(), Leaving: d.draining.Load(),
 	})
 	if err != nil {
 		return err
--- a/cell/hedge_test.go
+++ b/cell/hedge_test.go
@@ -60,8 +60,8 @@
 			if (err != nil || tc.kind != "") && errkind.Of(err) != tc.kind {
 				t.Errorf("append: %v, want kind %q", err, tc.kind)
 			}
-			if took := time.Since(began); took > tenureDuration/2 {
-				t.Errorf("answered after %v, want at most half of tenureDuration", took)
+			if took := time.Since(began); took > maxTenure/2 {
+				t.Errorf("answered after %v, want at most half of maxTenure", took)
 			}
 			if n := l.calls.Load(); n != tc.calls {
 				t.Errorf("%d calls, want %d", n, tc.calls)
@@ -148,8 +148,8 @@
 		if err := r.Append(context.Background(), StreamState, []Entry{{Value: []byte("x")}}, Fence{Epoch: 100, Sequence: n}); err != nil {
 			t.Fatal(err)
 		}
-		if took := HostClock() - began; took > tenureDuration/2 {
-			t.Errorf("append %d took %v, want at most half of tenureDuration", n, took)
+		if took := HostClock() - began; took > maxTenure/2 {
+			t.Errorf("append %d took %v, want at most half of maxTenure", n, took)
 		}
 	}
 	if r.reachesLog() {
--- a/cell/leadercalls.go
+++ b/cell/leadercalls.go
@@ -89,7 +89,10 @@
 		switch errkind.Of(err) {
 		case errkind.OutcomeUnknown, errkind.AppendUnknown:
 			unknownErr = err
-		case errkind.NotReady, errkind.NotOwner, errkind.Unreachable:
+			d.tenure.ReadNow()
+		case errkind.NotOwner, errkind.Unreachable:
+			d.tenure.ReadNow()
+		case errkind.NotReady:
 		default:
 			if unknownErr != nil {
 				// A former leader may still accept a copy that was sent to it, so the refusal is not definite.
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -10,6 +10,8 @@
 	registeredAt time.Duration // last registration
 	reachesLog   bool          // by direct calls
 	cores        float64       // processor capacity, 0 if not known
+	logRoundTrip time.Duration // least round trip to the log, 0 if not known
+	leaving      bool          // it is about to stop
 }
 
 // register records the registration of another daemon. The reply holds the number of pending jobs by
@@ -25,6 +27,7 @@
 		l.logger.Info().Str("event", "daemon_joined").Str("daemon", c.Daemon).Str("address", c.Address).Send()
 	}
 	p.registeredAt, p.reachesLog, p.cores = now, c.ReachesLog, c.Cores
+	p.logRoundTrip, p.leaving = time.Duration(c.LogRoundTripMicros)*time.Microsecond, c.Leaving
 	out := &reply{Pending: l.engine.Pending()}
 	if l.daemon.platformLog.reachesLog() {
 		out.Relays = append(out.Relays, l.daemon.tenure.cfg.Self.Address)
@@ -39,8 +42,8 @@
 }
 
 // refreshPeers forgets daemons that have not registered for maxPeerAge, and uses those that reach the
-// log as relays. After capacityGrace it also tells the Tenure the largest capacity of the others, and
-// resigns if a daemon that reaches the log is much stronger than this one. l.mu must be held.
+// log as relays. After capacityGrace it also tells the Tenure the largest capacity of the others and
+// the successors, and resigns if a daemon that reaches the log is much stronger than this one. l.mu must be held.
 func (l *leadership) refreshPeers(now time.Duration) {
 	var relays []string
 	for address, p := range l.peers {
@@ -55,14 +58,19 @@
 	}
 	l.daemon.platformLog.setRelays(relays)
 	strongest, strongestWithLog := 0.0, 0.0
+	var candidates []successor
 	for _, p := range l.peers {
 		strongest = max(strongest, p.cores)
 		if p.reachesLog {
 			strongestWithLog = max(strongestWithLog, p.cores)
 		}
+		if p.reachesLog && !p.leaving {
+			candidates = append(candidates, successor{p.name, p.cores, p.logRoundTrip})
+		}
 	}
 	if now-l.startedAt > capacityGrace {
 		l.daemon.tenure.SetStrongestCores(strongest)
+		l.daemon.tenure.SetSuccessors(chooseSuccessors(candidates, max(strongest, l.daemon.settings.Cores)))
 	}
 	if l.daemon.settings.Cores < weakShare*strongestWithLog && now-l.startedAt > capacityGrace {
 		l.daemon.tenure.Resign("a much stronger daemon can lead")
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sync"
 	"time"
 
@@ -16,32 +15,30 @@
 
 const (
 	// heartbeatInterval is the interval at which the leader sends heartbeats to the log. Each costs one
-	// append, and one read by every daemon. The next one is sent after the answer to the last, so a log
-	// that takes longer than that gets fewer.
-	heartbeatInterval = 200 * time.Millisecond
+	// append, and a read by the daemons that follow closely. The next one is sent after the answer to
+	// the last, so a log that takes longer than that gets fewer.
+	heartbeatInterval = 150 * time.Millisecond
 	// minHeartbeatPause is the least pause between the answer to a heartbeat and the next one.
 	minHeartbeatPause = 20 * time.Millisecond
-	// tenureDuration is how long a leader may give orders after it sent a heartbeat that was stored.
-	tenureDuration = 700 * time.Millisecond
-	// takeoverAfter is the least time without a heartbeat in a readable log after which a daemon claims
-	// leadership. It is longer than tenureDuration plus the drift of two clocks.
-	takeoverAfter = 850 * time.Millisecond
-	// claimSpread is the longest delay of a claim that depends on the daemon's name, so that two
-	// daemons rarely claim at the same time.
-	claimSpread = 150 * time.Millisecond
-	// roundTripFactor times the round trip to the log is a further delay of a claim, so that daemons
-	// near the log are preferred.
-	roundTripFactor = 12
-	// weakShare is the share of the strongest daemon's processor capacity below which a daemon delays
-	// its claim by weakClaimDelay. It then leads only if no stronger daemon claims before.
-	weakShare      = 0.7
-	weakClaimDelay = 700 * time.Millisecond
+	// minTenure and maxTenure bound how long a leader may give orders after it sent a heartbeat that was
+	// stored. The leader publishes the duration that it uses, see Leader.Tenure. maxTenure is also the
+	// duration of leaders that publish none.
+	minTenure = 450 * time.Millisecond
+	maxTenure = 700 * time.Millisecond
 	// resignedClaimDelay is how long a daemon that has resigned leaves leadership to others.
 	resignedClaimDelay = 6 * time.Second
 	// logTimeout bounds a call to the log, beyond the time that it asks the log to wait.
 	logTimeout = 900 * time.Millisecond
 	// logRetry is the pause after a failed call to the log.
 	logRetry = 150 * time.Millisecond
+	// minLostReadTimeout is the timeout of the first read after one that was not answered. It doubles with
+	// each further one up to logTimeout, then it starts anew, so that a log that is back is noticed soon
+	// and a slow one is read at all.
+	minLostReadTimeout = 300 * time.Millisecond
+	maxLostReads       = 3
+	// distantReadPause is the pause of a daemon that is not a named successor after it has read a
+	// heartbeat, so that it reads several at once. A failed call to the leader ends the pause.
+	distantReadPause = 300 * time.Millisecond
 )
 
 // Leader is the value of an entry of StreamTenure: a claim, a heartbeat or a resignation of the daemon
@@ -56,14 +53,28 @@
 	// StrongestCores is the processor capacity of the strongest daemon that the leader knows. Much
 	// weaker daemons delay their claims.
 	StrongestCores float64 `cbor:"7,keyasint,omitempty"`
+	// TenureMillis is how long the leader may give orders after it sent this entry, in ms; 0 stands for
+	// maxTenure. The others claim later than that after they have read it.
+	TenureMillis int64 `cbor:"8,keyasint,omitempty"`
+	// Successors are the names of the daemons that claim first, in this order, empty where there is none.
+	Successors [maxSuccessors]string `cbor:"9,keyasint,omitempty"`
 }
 
-// sameState reports whether two entries differ at most in Heartbeat and StrongestCores.
+// sameState reports whether two entries differ at most in Heartbeat and in what the leader publishes
+// for a change of the leader.
 func (l Leader) sameState(o Leader) bool {
-	l.Heartbeat, l.StrongestCores = o.Heartbeat, o.StrongestCores
+	l.Heartbeat, l.StrongestCores, l.TenureMillis, l.Successors = o.Heartbeat, o.StrongestCores, o.TenureMillis, o.Successors
 	return l == o
 }
 
+// tenure returns how long the leader may give orders after it sent this entry.
+func (l Leader) tenure() time.Duration {
+	if l.TenureMillis == 0 {
+		return maxTenure
+	}
+	return time.Duration(l.TenureMillis) * time.Millisecond
+}
+
 // Token returns the first fencing token of the leader's term. Machines refuse orders with a lower
 // token than one that they have seen.
 func (l Leader) Token() int64 { return l.Term * sched.TokensPerTerm }
@@ -81,7 +92,7 @@
 
 // Tenure follows which daemon leads the cell, and claims leadership when none does. A daemon leads
 // for a term, which begins with its claim. Within its term it holds the tenure, the right to give
-// orders, only for tenureDuration after each stored heartbeat.
+// orders, only for Leader.Tenure after it sent each heartbeat that was stored.
 //
 // Every append to the stream, be it a claim, a heartbeat or a resignation, has the condition that the
 // stream still ends where the writer has read it. So no heartbeat of a leader is stored after the
@@ -99,11 +110,15 @@
 	stopLeading       context.CancelFunc // ends the work of the leader, nil if this daemon does not lead
 	logRoundTrip      time.Duration      // least round trip to the log so far, 0 if not known
 	changed           chan struct{}      // closed and replaced when leader changes
+	heartbeatTimes    responseTimes      // of this leader's heartbeats
+
+	readNow   chan struct{} // ends the pause before the next read
+	lostReads int           // reads in a row that were not answered; only the goroutine of Run uses it
 }
 
 // NewTenure returns a Tenure that does nothing until Run is called.
 func NewTenure(cfg TenureConfig) *Tenure {
-	return &Tenure{cfg: cfg, changed: make(chan struct{})}
+	return &Tenure{cfg: cfg, changed: make(chan struct{}), readNow: make(chan struct{}, 1)}
 }
 
 // Leader returns the last known leader, and false if there is none or it has resigned.
@@ -167,6 +182,10 @@
 			}
 		}
 		nextOffset = max(nextOffset, page.End)
+		if noHeartbeatSince == now && t.isDistant() {
+			t.pauseReads(ctx)
+			continue
+		}
 		if now-noHeartbeatSince < t.claimDelay() {
 			continue
 		}
@@ -182,24 +201,37 @@
 func (t *Tenure) claimDelay() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(t.cfg.Self.Daemon)) // a hash does not fail
-	spread := time.Duration(h.Sum32()%64) * claimSpread / 64
-	delay := takeoverAfter
-	formerProcess := t.leader.Term != 0 && t.leader.Address == t.cfg.Self.Address && t.leader.Incarnation != t.cfg.Self.Incarnation
-	if t.leader.Resigned {
-		delay = 0
-	}
-	if formerProcess {
-		return 0 // the leader was a former process at this daemon's address, which is gone
-	}
-	if t.isWeak() {
-		delay += weakClaimDelay
-	}
-	if left := t.claimDelayedUntil - t.cfg.Clock(); left > 0 {
-		delay += left
+	c := succession{leader: t.leader, self: t.cfg.Self, weak: t.isWeak(), logRoundTrip: t.logRoundTrip}
+	return c.claimDelay() + max(t.claimDelayedUntil-t.cfg.Clock(), 0)
+}
+
+// isDistant reports whether another daemon leads and this one is not among those that claim first.
+func (t *Tenure) isDistant() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leader.Term != 0 && !t.leader.Resigned && t.leader.Successors[0] != "" &&
+		(succession{leader: t.leader, self: t.cfg.Self}).rank() == maxSuccessors
+}
+
+// pauseReads waits for distantReadPause, or until ReadNow is called or ctx ends.
+func (t *Tenure) pauseReads(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-t.readNow:
+	case <-time.After(distantReadPause):
 	}
-	return delay + spread + t.logRoundTrip*roundTripFactor
+}
+
+// ReadNow makes Run read the log at once. It is called when the leader does not answer or does not lead
+// any more.
+func (t *Tenure) ReadNow() { notify(t.readNow) }
+
+// SetSuccessors sets the daemons that claim first when this leader is gone. The next heartbeat tells it
+// to the others.
+func (t *Tenure) SetSuccessors(names [maxSuccessors]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leader.Successors = names
 }
 
 // isWeak reports whether a much stronger daemon is known. t.mu must be held.
@@ -213,18 +245,34 @@
 	t.leader.StrongestCores = max(cores, t.cfg.Cores)
 }
 
-// read reads the tenure stream. A read that does not wait measures the round trip to the log.
+// read reads the tenure stream. A read that does not wait measures the round trip to the log. After a
+// read that was not answered, the next ones do not wait, and have short timeouts.
 func (t *Tenure) read(ctx context.Context, from int64, wait time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+logTimeout)
+	timeout := wait + logTimeout
+	if t.lostReads > 0 {
+		wait, timeout = 0, min(minLostReadTimeout<<(t.lostReads-1), logTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := t.cfg.Clock()
 	page, err := t.cfg.Log.Read(ctx, StreamTenure, from, wait)
+	t.lostReads++
+	if err == nil || errkind.Of(err) == errkind.NotFound || t.lostReads > maxLostReads {
+		t.lostReads = 0
+	}
 	if took := t.cfg.Clock() - sent; err == nil && wait == 0 {
 		t.observeRoundTrip(took)
 	}
 	return page, err
 }
 
+// LogRoundTrip returns the least round trip to the log so far, 0 if it is not known.
+func (t *Tenure) LogRoundTrip() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.logRoundTrip
+}
+
 // observeRoundTrip updates the least round trip to the log by the duration of a call.
 func (t *Tenure) observeRoundTrip(took time.Duration) {
 	t.mu.Lock()
@@ -277,7 +325,7 @@
 	if !l.sameState(t.leader) {
 		t.setLeader(l)
 	}
-	t.leader.StrongestCores = l.StrongestCores
+	t.leader.StrongestCores, t.leader.TenureMillis, t.leader.Successors = l.StrongestCores, l.TenureMillis, l.Successors
 	return true
 }
 
--- a/cell/tenure_test.go
+++ b/cell/tenure_test.go
@@ -172,9 +172,9 @@
 func TestPausedLeaderLosesTenure(t *testing.T) {
 	c := startCandidate(t, newMemoryLog(), "a")
 	eventually(t, "a leader", 4*time.Second, c.tenure.Held)
-	c.clockShift.Add(int64(tenureDuration))
+	c.clockShift.Add(int64(maxTenure))
 	if c.tenure.Held() {
-		t.Error("the tenure is held after a pause of tenureDuration")
+		t.Error("the tenure is held after a pause of maxTenure")
 	}
 	eventually(t, "the tenure is confirmed again", time.Second, c.tenure.Held)
 }
@@ -239,7 +239,7 @@
 	log.fail = nil
 	log.mu.Unlock()
 	again := startCandidate(t, log, "a")
-	eventually(t, "the restarted daemon leads", takeoverAfter/3, again.tenure.Held)
+	eventually(t, "the restarted daemon leads", maxTenure/3, again.tenure.Held)
 }
 
 // startStrongLeader starts a leader with 0.8 cores, which publishes that as the largest capacity, and
@@ -314,7 +314,7 @@
 		return nil, false
 	}
 	log.mu.Unlock()
-	time.Sleep(tenureDuration)
+	time.Sleep(maxTenure)
 	held := 0
 	const samples = 40
 	for range samples {
--- a/cell/wire.go
+++ b/cell/wire.go
@@ -38,6 +38,9 @@
 	Log        *logCall   `cbor:"7,keyasint,omitempty"`
 	ReachesLog bool       `cbor:"8,keyasint,omitempty"` // the sender reaches the log by direct calls
 	Cores      float64    `cbor:"9,keyasint,omitempty"` // processor capacity of the sender's host
+	// LogRoundTripMicros is the sender's least round trip to the log, in microseconds, 0 if not known.
+	LogRoundTripMicros int64 `cbor:"10,keyasint,omitempty"`
+	Leaving            bool  `cbor:"11,keyasint,omitempty"` // the sender is about to stop
 }
 
 // logCall is a call to the log that one daemon relays for another. Kind is "append", "read" or
