Hand over when the log answers other daemons but not the leader

Change: after 0.3 s of answers through others only, the leader hands over as for a planned stop; relays are the named successors.

--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -89,6 +89,7 @@
 	d := &Daemon{settings: settings, logger: settings.Logger, clock: settings.Clock, conns: newConnPool(), newConfig: make(chan struct{}, 1)}
 	d.platformLog = &routedLog{direct: settings.Log, conns: d.conns, clock: settings.Clock, logger: settings.Logger}
 	d.platformLog.onAppendCopy = func() { settings.Metrics.Retries.WithLabelValues("append_copy").Inc() }
+	d.platformLog.onOnlyRelayed = func() { d.handOver("the log answers other daemons but not this one") }
 	d.tenure = NewTenure(TenureConfig{
 		Self:  Leader{Daemon: settings.Name, Incarnation: time.Now().UnixNano(), Address: joinPort(settings.IP, settings.Port)},
 		Cores: settings.Cores, Log: d.platformLog, Clock: settings.Clock, Lead: d.runLeadership, Logger: settings.Logger,
@@ -260,11 +261,20 @@
 // changes of jobs that it has taken. It is a few appends to a slow log.
 const openChangesLimit = 1500 * time.Millisecond
 
-// Resign ends this daemon's leadership, if it leads, and delays its next claim. The leader first takes
-// no new changes of jobs, and stores those that it has taken, so that their callers learn the outcome.
+// Resign ends this daemon's leadership, if it leads, and delays its next claim.
 func (d *Daemon) Resign() {
-	if l := d.leadership.Load(); l != nil {
-		l.finishChanges(openChangesLimit)
+	d.handOver("this daemon stops")
+	d.tenure.Resign("this daemon stops") // also if it does not lead, so that it does not claim
+}
+
+// handOver gives up leadership, if this daemon leads, while it can still use it. The leader first takes
+// no new changes of jobs, and stores those that it has taken, so that their callers learn the outcome.
+// why is logged.
+func (d *Daemon) handOver(why string) {
+	l := d.leadership.Load()
+	if l == nil || !l.leaving.CompareAndSwap(false, true) {
+		return
 	}
-	d.tenure.Resign("this daemon stops")
+	l.finishChanges(openChangesLimit)
+	d.tenure.Resign(why)
 }
--- a/cell/hedge.go
+++ b/cell/hedge.go
@@ -17,6 +17,9 @@
 	maxHedgeDelay = 300 * time.Millisecond
 	// maxAppendCopies bounds the copies of one append.
 	maxAppendCopies = 4
+	// directLossPeriod is how long appends are answered only through other daemons before a leader hands
+	// over to one of them: relayed appends take longer, and the relay may be a small host.
+	directLossPeriod = 300 * time.Millisecond
 )
 
 // Append implements Log. A copy, also through another daemon, is safe: the fence makes the log
@@ -131,6 +134,14 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	switch now := r.clock(); {
+	case r.relayUntil == 0:
+		r.onlyRelayedSince = 0
+	case r.onlyRelayedSince == 0:
+		r.onlyRelayedSince = now
+	case now-r.onlyRelayedSince >= directLossPeriod && r.onOnlyRelayed != nil:
+		go r.onOnlyRelayed()
+	}
 	if r.appendTimes == nil {
 		r.appendTimes = make(map[Stream]*responseTimes)
 	}
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -60,6 +61,7 @@
 	adviceSenders map[string]*adviceSender      // by address, empty for this daemon
 	reach         machineReach
 	changes       openChanges
+	leaving       atomic.Bool // it hands over
 
 	planSignal  chan struct{}
 	flushSignal chan struct{}
--- a/cell/logroute.go
+++ b/cell/logroute.go
@@ -34,6 +34,11 @@
 	relayUntil  time.Duration // until then calls go through a relay, if there is one; 0 if the log answered the last direct call
 	nextRelay   int
 	appendTimes map[Stream]*responseTimes
+	// onlyRelayedSince is since when appends are answered only through other daemons, 0 if they are not.
+	onlyRelayedSince time.Duration
+	// onOnlyRelayed, if set, is called for each append that is answered through another daemon when that
+	// has gone on for directLossPeriod.
+	onOnlyRelayed func()
 	// onAppendCopy, if set, is called for each further copy of an append.
 	onAppendCopy func()
 }
@@ -72,7 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if answered {
-		r.relayUntil = 0
+		r.relayUntil, r.onlyRelayedSince = 0, 0
 		return
 	}
 	if r.relayUntil == 0 && len(r.relays) > 0 {
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -41,39 +41,44 @@
 	return out
 }
 
-// refreshPeers forgets daemons that have not registered for maxPeerAge, and uses those that reach the
-// log as relays. After capacityGrace it also tells the Tenure the largest capacity of the others and
+// refreshPeers forgets daemons that have not registered for maxPeerAge, and uses its successors as
+// relays. After capacityGrace it also tells the Tenure the largest capacity of the others and
 // the successors, and resigns if a daemon that reaches the log is much stronger than this one. l.mu must be held.
 func (l *leadership) refreshPeers(now time.Duration) {
-	var relays []string
 	for address, p := range l.peers {
 		if now-p.registeredAt > maxPeerAge {
 			delete(l.peers, address)
 			l.logger.Info().Str("event", "daemon_silent").Str("daemon", p.name).Int64("silent_ms", (now - p.registeredAt).Milliseconds()).Send()
 			continue
 		}
-		if p.reachesLog {
-			relays = append(relays, address)
-		}
 	}
-	l.daemon.platformLog.setRelays(relays)
 	strongest, strongestWithLog := 0.0, 0.0
 	var candidates []successor
-	for _, p := range l.peers {
+	addresses := make(map[string]string) // by name
+	for address, p := range l.peers {
 		strongest = max(strongest, p.cores)
 		if p.reachesLog {
 			strongestWithLog = max(strongestWithLog, p.cores)
 		}
 		if p.reachesLog && !p.leaving {
 			candidates = append(candidates, successor{p.name, p.cores, p.logRoundTrip})
+			addresses[p.name] = address
 		}
 	}
+	successors := chooseSuccessors(candidates, max(strongest, l.daemon.settings.Cores))
+	var relays []string
+	for _, name := range successors {
+		if address, ok := addresses[name]; ok {
+			relays = append(relays, address)
+		}
+	}
+	l.daemon.platformLog.setRelays(relays)
 	if now-l.startedAt > capacityGrace {
 		l.daemon.tenure.SetStrongestCores(strongest)
-		l.daemon.tenure.SetSuccessors(chooseSuccessors(candidates, max(strongest, l.daemon.settings.Cores)))
+		l.daemon.tenure.SetSuccessors(successors)
 	}
 	if l.daemon.settings.Cores < weakShare*strongestWithLog && now-l.startedAt > capacityGrace {
-		l.daemon.tenure.Resign("a much stronger daemon can lead")
+		go l.daemon.handOver("a much stronger daemon can lead")
 	}
 }
 
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -319,8 +319,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l.Term < t.leader.Term {
-		return false
+	if l.Term < t.leader.Term || l.Term == t.leader.Term && t.leader.Resigned && !l.Resigned {
+		return false // of a former leader, or of one that is known to have resigned since
 	}
 	if !l.sameState(t.leader) {
 		t.setLeader(l)
