--- a/cell/hedge.go
+++ b/cell/hedge.go
@@ -34,13 +34,12 @@
 
 // hedge is one append of which copies are sent until the log answers one of them.
 type hedge struct {
-	log      *routedLog
-	call     *logCall
-	results  chan copyResult
-	sent     int
-	inFlight int
-	// directSince is when the oldest unanswered direct copy was sent, 0 if there is none.
-	directSince time.Duration
+	log         *routedLog
+	call        *logCall
+	results     chan copyResult
+	sent        int
+	inFlight    int
+	directSince time.Duration // when the first direct copy was sent
 }
 
 // copyResult is the outcome of one copy of an append.
@@ -55,6 +54,9 @@
 func (h *hedge) run(ctx context.Context) error {
 	delay := h.log.hedgeDelay(h.call.Stream)
 	h.send(ctx)
+	if !h.log.reachesLog() && h.log.hasRelay() {
+		h.send(ctx) // shows at once which way is answered
+	}
 	var unknownErr error
 	for {
 		var timer <-chan time.Time
@@ -84,7 +86,7 @@
 				h.send(ctx) // nothing is left that could be answered
 				continue
 			}
-			if h.directSince != 0 && ctx.Err() != nil {
+			if ctx.Err() != nil {
 				h.log.recordDirectCall(false)
 			}
 			return cmp.Or(unknownErr, result.err)
@@ -96,19 +98,19 @@
 func (c copyResult) isBroken() bool { return errkind.Of(c.err) == errkind.AppendUnknown }
 
 // send starts one copy: the first directly, further ones in turn through another daemon and directly.
-// While the log does not answer direct calls, it is the other way round.
 func (h *hedge) send(ctx context.Context) {
-	direct, relay := h.log.chooseRoute()
-	if h.sent%2 == 1 && relay != "" {
-		direct = !direct
+	relay := ""
+	if h.sent%2 == 1 {
+		_, relay = h.log.chooseRoute()
 	}
+	direct := relay == ""
 	if h.sent > 0 && h.log.onAppendCopy != nil {
 		h.log.onAppendCopy()
 	}
 	h.sent++
 	h.inFlight++
 	began := h.log.clock()
-	if direct && h.directSince == 0 {
+	if h.sent == 1 {
 		h.directSince = began
 	}
 	go func() {
@@ -129,7 +131,7 @@
 	switch {
 	case result.direct:
 		r.recordDirectCall(true)
-	case h.directSince != 0 && r.clock()-h.directSince > result.took+minHedgeDelay/2:
+	case r.clock()-h.directSince > result.took+minHedgeDelay/2:
 		r.recordDirectCall(false)
 	}
 	r.mu.Lock()
