Hedge reads too, avoid silent relays, and let daemons without the log claim late

Change: reads go through the same copies as appends; a relay that did not answer is not used for 1.5 s; a daemon that reaches the log only through others claims 0.4 s later; the hand-over of a cut-off leader ends after 0.4 s.

--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -89,10 +89,10 @@
 	d := &Daemon{settings: settings, logger: settings.Logger, clock: settings.Clock, conns: newConnPool(), newConfig: make(chan struct{}, 1)}
 	d.platformLog = &routedLog{direct: settings.Log, conns: d.conns, clock: settings.Clock, logger: settings.Logger}
 	d.platformLog.onAppendCopy = func() { settings.Metrics.Retries.WithLabelValues("append_copy").Inc() }
-	d.platformLog.onOnlyRelayed = func() { d.handOver("the log answers other daemons but not this one") }
+	d.platformLog.onOnlyRelayed = func() { d.handOver("the log answers other daemons but not this one", relayedChangesLimit) }
 	d.tenure = NewTenure(TenureConfig{
 		Self:  Leader{Daemon: settings.Name, Incarnation: time.Now().UnixNano(), Address: joinPort(settings.IP, settings.Port)},
-		Cores: settings.Cores, Log: d.platformLog, Clock: settings.Clock, Lead: d.runLeadership, Logger: settings.Logger,
+		Cores: settings.Cores, Log: d.platformLog, Clock: settings.Clock, ReachesLog: d.platformLog.reachesLog, Lead: d.runLeadership, Logger: settings.Logger,
 	})
 	return d
 }
@@ -257,24 +257,29 @@
 	return nil
 }
 
-// openChangesLimit bounds how long a daemon that is asked to give up leadership goes on storing the
-// changes of jobs that it has taken. It is a few appends to a slow log.
-const openChangesLimit = 1500 * time.Millisecond
+const (
+	// openChangesLimit bounds how long a leader that hands over goes on storing the changes of jobs that
+	// it has taken. It is a few appends to a slow log.
+	openChangesLimit = 1500 * time.Millisecond
+	// relayedChangesLimit is the same for a leader that reaches the log only through other daemons: its
+	// successor stores changes sooner.
+	relayedChangesLimit = 400 * time.Millisecond
+)
 
 // Resign ends this daemon's leadership, if it leads, and delays its next claim.
 func (d *Daemon) Resign() {
-	d.handOver("this daemon stops")
+	d.handOver("this daemon stops", openChangesLimit)
 	d.tenure.Resign("this daemon stops") // also if it does not lead, so that it does not claim
 }
 
 // handOver gives up leadership, if this daemon leads, while it can still use it. The leader first takes
-// no new changes of jobs, and stores those that it has taken, so that their callers learn the outcome.
-// why is logged.
-func (d *Daemon) handOver(why string) {
+// no new changes of jobs, and stores those that it has taken within limit, so that their callers learn
+// the outcome. why is logged.
+func (d *Daemon) handOver(why string, limit time.Duration) {
 	l := d.leadership.Load()
 	if l == nil || !l.leaving.CompareAndSwap(false, true) {
 		return
 	}
-	l.finishChanges(openChangesLimit)
+	l.finishChanges(limit)
 	d.tenure.Resign(why)
 }
--- a/cell/hedge.go
+++ b/cell/hedge.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/sassafraslb/sassafraslb/errkind"
 )
 
@@ -15,8 +17,8 @@
 	// maxHedgeDelay is the longest wait before a further copy, unless the log is known to take longer.
 	// It bounds the time until a leader sees that a lost log is back.
 	maxHedgeDelay = 300 * time.Millisecond
-	// maxAppendCopies bounds the copies of one append.
-	maxAppendCopies = 4
+	// maxCopies bounds the copies of one call.
+	maxCopies = 6
 	// directLossPeriod is how long appends are answered only through other daemons before a leader hands
 	// over to one of them: relayed appends take longer, and the relay may be a small host.
 	directLossPeriod = 300 * time.Millisecond
@@ -26,13 +28,25 @@
 // store an append only once. If the first copy of an append at an offset is stored and its answer
 // is lost, the next copy fails with kind conflict.
 func (r *routedLog) Append(ctx context.Context, s Stream, entries []Entry, f Fence) error {
+	c := &logCall{Stream: s, Kind: "append", Entries: entries, Fence: f}
+	_, err := r.hedge(ctx, c, r.hedgeDelay(s))
+	return err
+}
+
+// read makes a call that changes nothing.
+func (r *routedLog) read(ctx context.Context, c *logCall) (Page, error) {
+	return r.hedge(ctx, c, c.Wait+directTimeout)
+}
+
+// hedge makes a call, and sends a copy of it after delay without an answer.
+func (r *routedLog) hedge(ctx context.Context, c *logCall, delay time.Duration) (Page, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the other copies: a connection on which an answer was lost is not used again
-	h := hedge{log: r, call: &logCall{Stream: s, Kind: "append", Entries: entries, Fence: f}, results: make(chan copyResult, maxAppendCopies)}
-	return h.run(ctx)
+	h := hedge{log: r, call: c, results: make(chan copyResult, maxCopies), directSince: r.clock()}
+	return h.run(ctx, delay)
 }
 
-// hedge is one append of which copies are sent until the log answers one of them.
+// hedge is one call of which copies are sent until the log answers one of them.
 type hedge struct {
 	log         *routedLog
 	call        *logCall
@@ -42,17 +56,17 @@
 	directSince time.Duration // when the first direct copy was sent
 }
 
-// copyResult is the outcome of one copy of an append.
+// copyResult is the outcome of one copy of a call.
 type copyResult struct {
-	direct bool
-	took   time.Duration
-	err    error
+	relay string // address of the daemon that made the call, empty if it was a direct one
+	took  time.Duration
+	page  Page
+	err   error
 }
 
 // run sends copies until the log answers, ctx ends, or all copies have failed. A failure of one copy
 // does not tell the outcome of the others.
-func (h *hedge) run(ctx context.Context) error {
-	delay := h.log.hedgeDelay(h.call.Stream)
+func (h *hedge) run(ctx context.Context, delay time.Duration) (Page, error) {
 	h.send(ctx)
 	if !h.log.reachesLog() && h.log.hasRelay() {
 		h.send(ctx) // shows at once which way is answered
@@ -60,7 +74,7 @@
 	var unknownErr error
 	for {
 		var timer <-chan time.Time
-		if h.sent < maxAppendCopies {
+		if h.sent < maxCopies {
 			timer = time.After(delay)
 		}
 		select {
@@ -71,10 +85,10 @@
 			h.inFlight--
 			if isLogAnswer(result.err) {
 				h.answered(result)
-				return result.err
+				return result.page, result.err
 			}
-			if result.direct && ctx.Err() == nil {
-				h.log.recordDirectCall(false)
+			if ctx.Err() == nil {
+				h.failed(result)
 			}
 			if errkind.Of(result.err) == errkind.AppendUnknown {
 				unknownErr = result.err
@@ -82,14 +96,14 @@
 			if h.inFlight > 0 {
 				continue
 			}
-			if ctx.Err() == nil && h.sent < maxAppendCopies && (h.log.hasRelay() || result.isBroken()) {
+			if ctx.Err() == nil && h.sent < maxCopies && (h.log.hasRelay() || result.isBroken()) {
 				h.send(ctx) // nothing is left that could be answered
 				continue
 			}
-			if ctx.Err() != nil {
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 				h.log.recordDirectCall(false)
 			}
-			return cmp.Or(unknownErr, result.err)
+			return result.page, cmp.Or(unknownErr, result.err)
 		}
 	}
 }
@@ -101,43 +115,53 @@
 func (h *hedge) send(ctx context.Context) {
 	relay := ""
 	if h.sent%2 == 1 {
-		_, relay = h.log.chooseRoute()
+		relay = h.log.relay()
 	}
-	direct := relay == ""
-	if h.sent > 0 && h.log.onAppendCopy != nil {
+	if h.sent > 0 && h.call.Kind == "append" && h.log.onAppendCopy != nil {
 		h.log.onAppendCopy()
 	}
 	h.sent++
 	h.inFlight++
 	began := h.log.clock()
-	if h.sent == 1 {
-		h.directSince = began
-	}
 	go func() {
-		var err error
-		if direct {
-			err = h.log.direct.Append(ctx, h.call.Stream, h.call.Entries, h.call.Fence)
+		result := copyResult{relay: relay}
+		if relay == "" {
+			result.page, result.err = makeCall(ctx, h.log.direct, h.call)
 		} else {
-			_, err = h.log.callRelay(ctx, relay, h.call)
+			result.page, result.err = h.log.callRelay(ctx, relay, h.call)
+		}
+		result.took = h.log.clock() - began
+		if relay != "" && (ctx.Err() == nil || result.took > h.call.Wait+relayTimeout) {
+			h.log.recordRelay(relay, isLogAnswer(result.err))
 		}
-		h.results <- copyResult{direct, h.log.clock() - began, err}
+		h.results <- result
 	}()
 }
 
+// failed takes into account that a copy was not answered by the log.
+func (h *hedge) failed(result copyResult) {
+	if result.relay == "" {
+		h.log.recordDirectCall(false)
+	}
+}
+
 // answered takes the first answer into account. If it came through another daemon, a direct copy that
 // was sent long enough before counts as not answered.
 func (h *hedge) answered(result copyResult) {
 	r := h.log
 	switch {
-	case result.direct:
+	case result.relay == "":
 		r.recordDirectCall(true)
 	case r.clock()-h.directSince > result.took+minHedgeDelay/2:
 		r.recordDirectCall(false)
 	}
+	if h.call.Kind != "append" {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch now := r.clock(); {
-	case r.relayUntil == 0:
+	case !r.directLost:
 		r.onlyRelayedSince = 0
 	case r.onlyRelayedSince == 0:
 		r.onlyRelayedSince = now
--- a/cell/logroute.go
+++ b/cell/logroute.go
@@ -5,24 +5,26 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 )
 
 const (
-	// relayPeriod is how long calls go through another daemon after the log did not answer a direct
-	// call.
-	relayPeriod = 1500 * time.Millisecond
-	// directTimeout bounds a direct read, beyond the time that it asks the log to wait, while another
-	// daemon could relay it.
+	// silentRelayPeriod is how long a daemon that did not answer is not used as a relay, unless there is
+	// no other.
+	silentRelayPeriod = 1500 * time.Millisecond
+	// relayTimeout is how long a call through another daemon may take, beyond the time that it asks the
+	// log to wait, before that daemon counts as silent.
+	relayTimeout = 200 * time.Millisecond
+	// directTimeout is how long a direct read may take, beyond the time that it asks the log to wait,
+	// before another daemon relays it.
 	directTimeout = 450 * time.Millisecond
 )
 
-// routedLog is a Log that calls the platform's log directly, and through another daemon while the
-// log does not answer this one. Appends are hedged: copies are sent while no answer comes, in turn
-// directly and through other daemons.
+// routedLog is a Log that calls the platform's log directly, and through other daemons while the log
+// does not answer this one. Calls are hedged: copies are sent while no answer comes, in turn directly
+// and through other daemons.
 type routedLog struct {
 	direct Log
 	conns  *connPool
@@ -30,9 +32,10 @@
 	logger zerolog.Logger
 
 	mu          sync.Mutex
-	relays      []string      // addresses of daemons that reach the log
-	relayUntil  time.Duration // until then calls go through a relay, if there is one; 0 if the log answered the last direct call
+	directLost  bool     // the log did not answer the last direct call
+	relays      []string // addresses of daemons that reach the log
 	nextRelay   int
+	silentUntil map[string]time.Duration // by address of a daemon that did not answer as a relay
 	appendTimes map[Stream]*responseTimes
 	// onlyRelayedSince is since when appends are answered only through other daemons, 0 if they are not.
 	onlyRelayedSince time.Duration
@@ -48,7 +51,7 @@
 func (r *routedLog) reachesLog() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.relayUntil == 0
+	return !r.directLost
 }
 
 var _ Log = (*routedLog)(nil)
@@ -60,16 +63,36 @@
 	r.relays = addresses
 }
 
-// chooseRoute reports whether the next call is made directly, and returns the address of the daemon
-// that can relay it, empty if there is none. Relays are used in turn.
-func (r *routedLog) chooseRoute() (direct bool, relay string) {
+// relay returns the address of the daemon that makes the next call for this one, empty if there is
+// none. Daemons that did not answer lately are used only if there is no other.
+func (r *routedLog) relay() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.relays) > 0 {
+	now := r.clock()
+	for range r.relays {
 		r.nextRelay++
-		relay = r.relays[r.nextRelay%len(r.relays)]
+		if address := r.relays[r.nextRelay%len(r.relays)]; now >= r.silentUntil[address] {
+			return address
+		}
+	}
+	if len(r.relays) == 0 {
+		return ""
+	}
+	return r.relays[r.nextRelay%len(r.relays)]
+}
+
+// recordRelay takes into account whether another daemon had an answer of the log.
+func (r *routedLog) recordRelay(address string, answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answered {
+		delete(r.silentUntil, address)
+		return
 	}
-	return r.clock() >= r.relayUntil || relay == "", relay
+	if r.silentUntil == nil {
+		r.silentUntil = make(map[string]time.Duration)
+	}
+	r.silentUntil[address] = r.clock() + silentRelayPeriod
 }
 
 // recordDirectCall takes into account whether the log answered a direct call.
@@ -77,13 +100,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if answered {
-		r.relayUntil, r.onlyRelayedSince = 0, 0
+		r.directLost, r.onlyRelayedSince = false, 0
 		return
 	}
-	if r.relayUntil == 0 && len(r.relays) > 0 {
+	if !r.directLost && len(r.relays) > 0 {
 		r.logger.Warn().Str("event", "log_through_relays").Int("relays", len(r.relays)).Send()
 	}
-	r.relayUntil = r.clock() + relayPeriod
+	r.directLost = true
 }
 
 // isLogAnswer reports whether err, which may be nil, is an answer of the log itself.
@@ -98,32 +121,6 @@
 	return false
 }
 
-// call makes one call to the log that may be repeated by another daemon. It uses direct, unless there
-// is a relay and the log did not answer a direct call within the last relayPeriod. If direct is not
-// used, or the log does not answer it, the relay makes the call, if there is one.
-func (r *routedLog) call(ctx context.Context, c *logCall, direct func(context.Context) (Page, error)) (Page, error) {
-	useDirect, relay := r.chooseRoute()
-	if useDirect {
-		limited, cancel := ctx, context.CancelFunc(func() {})
-		if relay != "" {
-			limited, cancel = context.WithTimeout(ctx, c.Wait+directTimeout)
-		}
-		page, err := direct(limited)
-		cancel()
-		if errors.Is(ctx.Err(), context.Canceled) {
-			return page, err
-		}
-		r.recordDirectCall(isLogAnswer(err))
-		if isLogAnswer(err) || ctx.Err() != nil {
-			return page, err
-		}
-		if relay == "" {
-			return page, err
-		}
-	}
-	return r.callRelay(ctx, relay, c)
-}
-
 // callRelay makes one call to the log through another daemon.
 func (r *routedLog) callRelay(ctx context.Context, relay string, c *logCall) (Page, error) {
 	out, err := r.conns.call(ctx, relay, rpcLog, &call{Log: c})
@@ -141,9 +138,7 @@
 
 // Read implements Log.
 func (r *routedLog) Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error) {
-	return r.call(ctx, &logCall{Stream: s, Kind: "read", From: from, Wait: wait}, func(ctx context.Context) (Page, error) {
-		return r.direct.Read(ctx, s, from, wait)
-	})
+	return r.read(ctx, &logCall{Stream: s, Kind: "read", From: from, Wait: wait})
 }
 
 // newestWait is the time that the transfer of one page of newest entries may take beyond that of
@@ -152,26 +147,27 @@
 
 // Newest implements Log.
 func (r *routedLog) Newest(ctx context.Context, s Stream, after string) (Page, error) {
-	return r.call(ctx, &logCall{Stream: s, Kind: "newest", After: after, Wait: newestWait}, func(ctx context.Context) (Page, error) {
-		return r.direct.Newest(ctx, s, after)
-	})
+	return r.read(ctx, &logCall{Stream: s, Kind: "newest", After: after, Wait: newestWait})
 }
 
-// serveLog relays a call to the log for another daemon.
-func serveLog(ctx context.Context, direct Log, c *logCall) (*reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+logTimeout)
-	defer cancel()
-	var page Page
-	var err error
+// makeCall makes a call to the log.
+func makeCall(ctx context.Context, log Log, c *logCall) (Page, error) {
 	switch c.Kind {
 	case "append":
-		err = direct.Append(ctx, c.Stream, c.Entries, c.Fence)
+		return Page{}, log.Append(ctx, c.Stream, c.Entries, c.Fence)
 	case "read":
-		page, err = direct.Read(ctx, c.Stream, c.From, c.Wait)
+		return log.Read(ctx, c.Stream, c.From, c.Wait)
 	case "newest":
-		page, err = direct.Newest(ctx, c.Stream, c.After)
+		return log.Newest(ctx, c.Stream, c.After)
 	default:
-		err = errkind.New(errkind.BadInput, "log_call", "unknown call %q", c.Kind)
+		return Page{}, errkind.New(errkind.BadInput, "log_call", "unknown call %q", c.Kind)
 	}
+}
+
+// serveLog relays a call to the log for another daemon.
+func serveLog(ctx context.Context, direct Log, c *logCall) (*reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+logTimeout)
+	defer cancel()
+	page, err := makeCall(ctx, direct, c)
 	return &reply{Page: &page}, err
 }
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -78,7 +78,7 @@
 		l.daemon.tenure.SetSuccessors(successors)
 	}
 	if l.daemon.settings.Cores < weakShare*strongestWithLog && now-l.startedAt > capacityGrace {
-		go l.daemon.handOver("a much stronger daemon can lead")
+		go l.daemon.handOver("a much stronger daemon can lead", openChangesLimit)
 	}
 }
 
--- a/cell/succession.go
+++ b/cell/succession.go
@@ -27,6 +27,8 @@
 	// its claim by weakClaimDelay. It then leads only if no stronger daemon claims before.
 	weakShare      = 0.7
 	weakClaimDelay = 700 * time.Millisecond
+	// indirectClaimDelay is a further delay of a daemon that reaches the log only through others.
+	indirectClaimDelay = 400 * time.Millisecond
 )
 
 // succession decides when a daemon claims leadership. It answers the death of a leader under load, when
@@ -45,6 +47,7 @@
 	self         Leader
 	weak         bool          // a much stronger daemon is known
 	logRoundTrip time.Duration // least round trip to the log so far
+	indirect     bool          // the log answers this daemon only through others
 }
 
 // rank returns the place of this daemon among the named successors, maxSuccessors if it is none.
@@ -64,6 +67,9 @@
 	if s.leader.Resigned {
 		delay = 0
 	}
+	if s.indirect {
+		delay += indirectClaimDelay
+	}
 	rank := s.rank()
 	if s.leader.Successors[0] != "" {
 		// A leader whose heartbeats take long has a longer tenure, and the log is slow.
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -85,6 +85,8 @@
 	Cores float64 // processor capacity of this daemon, 0 if not known
 	Log   Log
 	Clock Clock
+	// ReachesLog reports whether the log answers this daemon itself. Default: always.
+	ReachesLog func() bool
 	// Lead runs while this daemon leads. It must return soon after ctx ends.
 	Lead   func(ctx context.Context, term int64)
 	Logger zerolog.Logger
@@ -118,6 +120,9 @@
 
 // NewTenure returns a Tenure that does nothing until Run is called.
 func NewTenure(cfg TenureConfig) *Tenure {
+	if cfg.ReachesLog == nil {
+		cfg.ReachesLog = func() bool { return true }
+	}
 	return &Tenure{cfg: cfg, changed: make(chan struct{}), readNow: make(chan struct{}, 1)}
 }
 
@@ -201,7 +206,7 @@
 func (t *Tenure) claimDelay() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := succession{leader: t.leader, self: t.cfg.Self, weak: t.isWeak(), logRoundTrip: t.logRoundTrip}
+	c := succession{leader: t.leader, self: t.cfg.Self, weak: t.isWeak(), logRoundTrip: t.logRoundTrip, indirect: !t.cfg.ReachesLog()}
 	return c.claimDelay() + max(t.claimDelayedUntil-t.cfg.Clock(), 0)
 }
 
