Tell daemons apart by name and address, not by their start time alone

Cause: a daemon took the leader for itself if both had started at the same nanosecond, as three did after kill_all. Test: TestLeaderThatStartedAtTheSameTime fails before (not_owner), passes.

--- a/cell/changes_test.go
+++ b/cell/changes_test.go
@@ -25,7 +25,7 @@
 		planSignal: make(chan struct{}, 1), flushSignal: make(chan struct{}, 1)}
 	l.engine.SetQueues(1, []sched.Queue{{Name: "q", Service: "s", MaxAttempts: 1}})
 	d.leadership.Store(l)
-	d.tenure.leader = Leader{Daemon: "a", Incarnation: d.tenure.cfg.Self.Incarnation, Term: 1}
+	d.tenure.leader = Leader{Daemon: "a", Address: d.tenure.cfg.Self.Address, Incarnation: d.tenure.cfg.Self.Incarnation, Term: 1}
 	d.tenure.validUntil, d.tenure.stopLeading = HostClock()+time.Minute, cancel
 	go l.storeRecords(ctx)
 	submit := func(id string, timeout time.Duration) error {
--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -222,7 +222,7 @@
 		}
 		changed = d.tenure.Changed() // before the leader is read, so that no change is missed
 		l, ok := d.tenure.Leader()
-		if !ok || l.Incarnation == d.tenure.cfg.Self.Incarnation {
+		if !ok || l.sameProcess(d.tenure.cfg.Self) {
 			continue
 		}
 		err := d.register(ctx, l)
--- a/cell/leadercalls.go
+++ b/cell/leadercalls.go
@@ -139,7 +139,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
 	defer cancel()
-	if l.Incarnation == d.tenure.cfg.Self.Incarnation {
+	if l.sameProcess(d.tenure.cfg.Self) {
 		for _, m := range d.rpcMethods() {
 			if m.path == path {
 				return m.handle(ctx, c)
--- a/cell/successor_test.go
+++ b/cell/successor_test.go
@@ -28,7 +28,7 @@
 		d.tenure.mu.Lock()
 		defer d.tenure.mu.Unlock()
 		d.tenure.validUntil = HostClock() + time.Minute
-		d.tenure.setLeader(Leader{Daemon: "a", Incarnation: d.tenure.cfg.Self.Incarnation, Term: 2})
+		d.tenure.setLeader(Leader{Daemon: "a", Address: d.tenure.cfg.Self.Address, Incarnation: d.tenure.cfg.Self.Incarnation, Term: 2})
 	}
 }
 
@@ -72,3 +72,20 @@
 		t.Errorf("a second submission got %v, want %s", err, errkind.BadInput)
 	}
 }
+
+// TestLeaderThatStartedAtTheSameTime guards against a daemon that takes another one for itself because
+// both were started at the same time, and so refuses all requests that the leader would accept.
+func TestLeaderThatStartedAtTheSameTime(t *testing.T) {
+	leader, follower := startAssumedLeader(t)
+	self := follower.tenure.cfg.Self
+	follower.tenure.leader = Leader{Daemon: "b", Address: leader.tenure.cfg.Self.Address, Incarnation: self.Incarnation, Term: 1}
+	leader.leadership.Store(&leadership{daemon: leader, logger: zerolog.Nop(), clock: HostClock,
+		engine: sched.New(sched.Config{Logger: zerolog.Nop()}, HostClock())})
+	defer leader.leadership.Store(nil)
+	leader.tenure.mu.Lock()
+	leader.tenure.validUntil = HostClock() + time.Minute
+	leader.tenure.mu.Unlock()
+	if _, known, err := follower.State(context.Background(), "0000000000000001"); err != nil || known {
+		t.Errorf("state of an unknown job: %v, %v, want not known", known, err)
+	}
+}
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -67,6 +67,12 @@
 	return l == o
 }
 
+// sameProcess reports whether two entries are of the same process. Processes of two hosts may have
+// started at the same time.
+func (l Leader) sameProcess(o Leader) bool {
+	return l.Daemon == o.Daemon && l.Address == o.Address && l.Incarnation == o.Incarnation
+}
+
 // tenure returns how long the leader may give orders after it sent this entry.
 func (l Leader) tenure() time.Duration {
 	if l.TenureMillis == 0 {
