Hold a last try only while the outage is younger than the caller's time

Change: how long an outage lasts is not known; one that has lasted for some time probably lasts as long again. So a request is held while the outage is younger than what its caller has left, and else refused at once.

--- a/cell/leadercalls.go
+++ b/cell/leadercalls.go
@@ -103,7 +103,7 @@
 		if unknownErr != nil && ctx.Err() != nil {
 			return nil, errkind.Wrap(errkind.OutcomeUnknown, "leader_silent", unknownErr)
 		}
-		if unknownErr == nil && (ctx.Err() != nil || p.isOver(d.clock()-began, timeLeft(ctx), d.isLogLost(err))) {
+		if unknownErr == nil && (ctx.Err() != nil || p.isOver(d.clock()-began, timeLeft(ctx), d.logOutageAfter(err))) {
 			return nil, err
 		}
 		select {
@@ -117,16 +117,20 @@
 	}
 }
 
-// isLogLost reports whether nothing can be stored now: the leader refused a call with err because its
-// tenure is over, and it reaches the log neither directly nor through another daemon.
-func (d *Daemon) isLogLost(err error) bool {
+// logOutageAfter returns for how long nothing could be stored, if the leader refused a call with err
+// because its tenure is over and it reaches the log neither directly nor through another daemon; and
+// else 0.
+func (d *Daemon) logOutageAfter(err error) time.Duration {
 	switch errkind.ReasonOf(err) {
 	case reasonLogLost:
-		return true
 	case reasonTenureOver:
-		return !d.platformLog.reachesLog()
+		if d.platformLog.reachesLog() {
+			return 0
+		}
+	default:
+		return 0
 	}
-	return false
+	return max(d.LogOutage(), time.Nanosecond) // this daemon may not have noticed the outage yet
 }
 
 // callLeaderOnce makes one call to the known leader. It abandons a call to another daemon when changed
--- a/cell/patience.go
+++ b/cell/patience.go
@@ -35,21 +35,23 @@
 	// not wait: how long that takes cannot be known, and the caller can return.
 	maxWait time.Duration
 	// holdLast lets a request wait to the end of its caller's time if the caller has no time to return
-	// after a refusal. It is refused, definitely, before that time ends.
+	// after a refusal. It is refused, definitely, before that time ends. While the log is lost that
+	// holds only as long as the outage is younger than the time left: how long it lasts is not known,
+	// and an outage that has lasted for some time probably lasts as long again.
 	holdLast bool
 }
 
 // isOver reports whether a request that has waited for some time, and whose caller has so much time
-// left, is refused now. logLost means that nothing can be stored now. A caller without a deadline can
-// always return.
-func (p patience) isOver(waited, left time.Duration, logLost bool) bool {
+// left, is refused now. outage is for how long nothing could be stored, 0 if the log is not lost. A
+// caller without a deadline can always return.
+func (p patience) isOver(waited, left, outage time.Duration) bool {
 	if left < leaderRetryWait+deadlineReserve {
 		return true
 	}
 	if p.holdLast && !canReturn(left) {
-		return false
+		return outage > left
 	}
-	return logLost || waited >= p.maxWait
+	return outage > 0 || waited >= p.maxWait
 }
 
 // canReturn reports whether a caller that is refused now can wait for minRetrySeconds and try again.
