--- a/cell/hedge.go
+++ b/cell/hedge.go
@@ -17,6 +17,9 @@
 	// maxHedgeDelay is the longest wait before a further copy, unless the log is known to take longer.
 	// It bounds the time until a leader sees that a lost log is back.
 	maxHedgeDelay = 300 * time.Millisecond
+	// directHeadStart is the wait before a copy through another daemon if the log did not answer the last
+	// direct call.
+	directHeadStart = 25 * time.Millisecond
 	// maxCopies bounds the copies of one call.
 	maxCopies = 6
 	// directLossPeriod is how long appends are answered only through other daemons before a leader hands
@@ -29,20 +32,22 @@
 // is lost, the next copy fails with kind conflict.
 func (r *routedLog) Append(ctx context.Context, s Stream, entries []Entry, f Fence) error {
 	c := &logCall{Stream: s, Kind: "append", Entries: entries, Fence: f}
-	_, err := r.hedge(ctx, c, r.hedgeDelay(s))
+	delay := r.hedgeDelay(s)
+	_, err := r.hedge(ctx, c, delay, delay == minHedgeDelay)
 	return err
 }
 
 // read makes a call that changes nothing.
 func (r *routedLog) read(ctx context.Context, c *logCall) (Page, error) {
-	return r.hedge(ctx, c, c.Wait+directTimeout)
+	return r.hedge(ctx, c, c.Wait+directTimeout, true)
 }
 
-// hedge makes a call, and sends a copy of it after delay without an answer.
-func (r *routedLog) hedge(ctx context.Context, c *logCall, delay time.Duration) (Page, error) {
+// hedge makes a call, and sends a copy of it after delay without an answer. fast means that copies do
+// not queue at the log, so that another daemon may be tried sooner.
+func (r *routedLog) hedge(ctx context.Context, c *logCall, delay time.Duration, fast bool) (Page, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the other copies: a connection on which an answer was lost is not used again
-	h := hedge{log: r, call: c, results: make(chan copyResult, maxCopies), directSince: r.clock()}
+	h := hedge{log: r, call: c, fast: fast, results: make(chan copyResult, maxCopies), directSince: r.clock()}
 	return h.run(ctx, delay)
 }
 
@@ -50,6 +55,7 @@
 type hedge struct {
 	log         *routedLog
 	call        *logCall
+	fast        bool
 	results     chan copyResult
 	sent        int
 	inFlight    int
@@ -68,19 +74,22 @@
 // does not tell the outcome of the others.
 func (h *hedge) run(ctx context.Context, delay time.Duration) (Page, error) {
 	h.send(ctx)
-	if !h.log.reachesLog() && h.log.hasRelay() {
-		h.send(ctx) // shows at once which way is answered
+	wait := delay
+	if h.fast && !h.log.reachesLog() && h.log.hasRelay() {
+		wait = directHeadStart
 	}
 	var unknownErr error
 	for {
 		var timer <-chan time.Time
 		if h.sent < maxCopies {
-			timer = time.After(delay)
+			timer = time.After(wait)
 		}
 		select {
 		case <-timer:
 			h.send(ctx)
-			delay = max(min(delay*3/2, maxHedgeDelay), delay)
+			if wait = delay; h.sent > 2 {
+				delay = max(min(delay*3/2, maxHedgeDelay), delay)
+			}
 		case result := <-h.results:
 			h.inFlight--
 			if isLogAnswer(result.err) {
@@ -152,7 +161,7 @@
 	switch {
 	case result.relay == "":
 		r.recordDirectCall(true)
-	case r.clock()-h.directSince > result.took+minHedgeDelay/2:
+	case r.clock()-h.directSince > result.took+max(minHedgeDelay/2, r.hedgeDelay(h.call.Stream)/2):
 		r.recordDirectCall(false)
 	}
 	if h.call.Kind != "append" {
