Trial: judge direct calls by their own answers

Change: after an answer through another daemon the direct copy is awaited before the log counts as lost for it.

--- a/cell/hedge.go
+++ b/cell/hedge.go
@@ -45,21 +45,28 @@
 // hedge makes a call, and sends a copy of it after delay without an answer. fast means that copies do
 // not queue at the log, so that another daemon may be tried sooner.
 func (r *routedLog) hedge(ctx context.Context, c *logCall, delay time.Duration, fast bool) (Page, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // ends the other copies: a connection on which an answer was lost is not used again
+	copies, endCopies := context.WithCancel(context.WithoutCancel(ctx))
+	defer context.AfterFunc(ctx, endCopies)()
 	h := hedge{log: r, call: c, fast: fast, results: make(chan copyResult, maxCopies), directSince: r.clock()}
-	return h.run(ctx, delay)
+	result := h.run(ctx, copies, delay)
+	if result.relay != "" && !h.directFailed && isLogAnswer(result.err) {
+		go h.judgeDirect(endCopies)
+	} else {
+		endCopies() // a connection on which an answer was lost is not used again
+	}
+	return result.page, result.err
 }
 
 // hedge is one call of which copies are sent until the log answers one of them.
 type hedge struct {
-	log         *routedLog
-	call        *logCall
-	fast        bool
-	results     chan copyResult
-	sent        int
-	inFlight    int
-	directSince time.Duration // when the first direct copy was sent
+	log          *routedLog
+	call         *logCall
+	fast         bool
+	results      chan copyResult
+	sent         int
+	inFlight     int
+	directSince  time.Duration // when the first direct copy was sent
+	directFailed bool          // a direct copy was refused or its connection broke
 }
 
 // copyResult is the outcome of one copy of a call.
@@ -70,10 +77,11 @@
 	err   error
 }
 
-// run sends copies until the log answers, ctx ends, or all copies have failed. A failure of one copy
-// does not tell the outcome of the others.
-func (h *hedge) run(ctx context.Context, delay time.Duration) (Page, error) {
-	h.send(ctx)
+// run sends copies, which end with the context copies, until the log answers, ctx ends, or all copies
+// have failed. It returns the first answer or the failure. A failure of one copy does not tell the
+// outcome of the others.
+func (h *hedge) run(ctx, copies context.Context, delay time.Duration) copyResult {
+	h.send(copies)
 	wait := delay
 	if h.fast && !h.log.reachesLog() && h.log.hasRelay() {
 		wait = directHeadStart
@@ -86,7 +94,7 @@
 		}
 		select {
 		case <-timer:
-			h.send(ctx)
+			h.send(copies)
 			if wait = delay; h.sent > 2 {
 				delay = max(min(delay*3/2, maxHedgeDelay), delay)
 			}
@@ -94,7 +102,7 @@
 			h.inFlight--
 			if isLogAnswer(result.err) {
 				h.answered(result)
-				return result.page, result.err
+				return result
 			}
 			if ctx.Err() == nil {
 				h.failed(result)
@@ -106,13 +114,14 @@
 				continue
 			}
 			if ctx.Err() == nil && h.sent < maxCopies && (h.log.hasRelay() || result.isBroken()) {
-				h.send(ctx) // nothing is left that could be answered
+				h.send(copies) // nothing is left that could be answered
 				continue
 			}
 			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 				h.log.recordDirectCall(false)
 			}
-			return result.page, cmp.Or(unknownErr, result.err)
+			result.err = cmp.Or(unknownErr, result.err)
+			return result
 		}
 	}
 }
@@ -150,19 +159,36 @@
 // failed takes into account that a copy was not answered by the log.
 func (h *hedge) failed(result copyResult) {
 	if result.relay == "" {
+		h.directFailed = true
 		h.log.recordDirectCall(false)
 	}
 }
 
-// answered takes the first answer into account. If it came through another daemon, a direct copy that
-// was sent long enough before counts as not answered.
+// judgeDirect waits, after an answer through another daemon, whether a direct copy is answered too, and
+// then ends all copies. A repeat may be answered sooner than the first copy, so the answer through the
+// other daemon does not tell that the direct one is lost.
+func (h *hedge) judgeDirect(endCopies func()) {
+	defer endCopies()
+	timer := time.After(h.call.Wait + logTimeout - (h.log.clock() - h.directSince))
+	for {
+		select {
+		case result := <-h.results:
+			if result.relay == "" {
+				h.log.recordDirectCall(isLogAnswer(result.err))
+				return
+			}
+		case <-timer:
+			h.log.recordDirectCall(false)
+			return
+		}
+	}
+}
+
+// answered takes the first answer of the log into account.
 func (h *hedge) answered(result copyResult) {
 	r := h.log
-	switch {
-	case result.relay == "":
+	if result.relay == "" {
 		r.recordDirectCall(true)
-	case r.clock()-h.directSince > result.took+max(minHedgeDelay/2, r.hedgeDelay(h.call.Stream)/2):
-		r.recordDirectCall(false)
 	}
 	if h.call.Kind != "append" {
 		return
