--- a/cell/hedge.go
+++ b/cell/hedge.go
@@ -17,9 +17,6 @@
 	// maxHedgeDelay is the longest wait before a further copy, unless the log is known to take longer.
 	// It bounds the time until a leader sees that a lost log is back.
 	maxHedgeDelay = 300 * time.Millisecond
-	// directHeadStart is the wait before a copy through another daemon if the log did not answer the last
-	// direct call.
-	directHeadStart = 25 * time.Millisecond
 	// maxCopies bounds the copies of one call.
 	maxCopies = 6
 	// directLossPeriod is how long appends are answered only through other daemons before a leader hands
@@ -32,41 +29,31 @@
 // is lost, the next copy fails with kind conflict.
 func (r *routedLog) Append(ctx context.Context, s Stream, entries []Entry, f Fence) error {
 	c := &logCall{Stream: s, Kind: "append", Entries: entries, Fence: f}
-	delay := r.hedgeDelay(s)
-	_, err := r.hedge(ctx, c, delay, delay == minHedgeDelay)
+	_, err := r.hedge(ctx, c, r.hedgeDelay(s))
 	return err
 }
 
 // read makes a call that changes nothing.
 func (r *routedLog) read(ctx context.Context, c *logCall) (Page, error) {
-	return r.hedge(ctx, c, c.Wait+directTimeout, true)
+	return r.hedge(ctx, c, c.Wait+directTimeout)
 }
 
-// hedge makes a call, and sends a copy of it after delay without an answer. fast means that copies do
-// not queue at the log, so that another daemon may be tried sooner.
-func (r *routedLog) hedge(ctx context.Context, c *logCall, delay time.Duration, fast bool) (Page, error) {
-	copies, endCopies := context.WithCancel(context.WithoutCancel(ctx))
-	defer context.AfterFunc(ctx, endCopies)()
-	h := hedge{log: r, call: c, fast: fast, results: make(chan copyResult, maxCopies), directSince: r.clock()}
-	result := h.run(ctx, copies, delay)
-	if result.relay != "" && !h.directFailed && isLogAnswer(result.err) {
-		go h.judgeDirect(endCopies)
-	} else {
-		endCopies() // a connection on which an answer was lost is not used again
-	}
-	return result.page, result.err
+// hedge makes a call, and sends a copy of it after delay without an answer.
+func (r *routedLog) hedge(ctx context.Context, c *logCall, delay time.Duration) (Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the other copies: a connection on which an answer was lost is not used again
+	h := hedge{log: r, call: c, results: make(chan copyResult, maxCopies), directSince: r.clock()}
+	return h.run(ctx, delay)
 }
 
 // hedge is one call of which copies are sent until the log answers one of them.
 type hedge struct {
-	log          *routedLog
-	call         *logCall
-	fast         bool
-	results      chan copyResult
-	sent         int
-	inFlight     int
-	directSince  time.Duration // when the first direct copy was sent
-	directFailed bool          // a direct copy was refused or its connection broke
+	log         *routedLog
+	call        *logCall
+	results     chan copyResult
+	sent        int
+	inFlight    int
+	directSince time.Duration // when the first direct copy was sent
 }
 
 // copyResult is the outcome of one copy of a call.
@@ -77,32 +64,28 @@
 	err   error
 }
 
-// run sends copies, which end with the context copies, until the log answers, ctx ends, or all copies
-// have failed. It returns the first answer or the failure. A failure of one copy does not tell the
-// outcome of the others.
-func (h *hedge) run(ctx, copies context.Context, delay time.Duration) copyResult {
-	h.send(copies)
-	wait := delay
-	if h.fast && !h.log.reachesLog() && h.log.hasRelay() {
-		wait = directHeadStart
+// run sends copies until the log answers, ctx ends, or all copies have failed. A failure of one copy
+// does not tell the outcome of the others.
+func (h *hedge) run(ctx context.Context, delay time.Duration) (Page, error) {
+	h.send(ctx)
+	if !h.log.reachesLog() && h.log.hasRelay() {
+		h.send(ctx) // shows at once which way is answered
 	}
 	var unknownErr error
 	for {
 		var timer <-chan time.Time
 		if h.sent < maxCopies {
-			timer = time.After(wait)
+			timer = time.After(delay)
 		}
 		select {
 		case <-timer:
-			h.send(copies)
-			if wait = delay; h.sent > 2 {
-				delay = max(min(delay*3/2, maxHedgeDelay), delay)
-			}
+			h.send(ctx)
+			delay = max(min(delay*3/2, maxHedgeDelay), delay)
 		case result := <-h.results:
 			h.inFlight--
 			if isLogAnswer(result.err) {
 				h.answered(result)
-				return result
+				return result.page, result.err
 			}
 			if ctx.Err() == nil {
 				h.failed(result)
@@ -114,14 +97,13 @@
 				continue
 			}
 			if ctx.Err() == nil && h.sent < maxCopies && (h.log.hasRelay() || result.isBroken()) {
-				h.send(copies) // nothing is left that could be answered
+				h.send(ctx) // nothing is left that could be answered
 				continue
 			}
 			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 				h.log.recordDirectCall(false)
 			}
-			result.err = cmp.Or(unknownErr, result.err)
-			return result
+			return result.page, cmp.Or(unknownErr, result.err)
 		}
 	}
 }
@@ -159,36 +141,19 @@
 // failed takes into account that a copy was not answered by the log.
 func (h *hedge) failed(result copyResult) {
 	if result.relay == "" {
-		h.directFailed = true
 		h.log.recordDirectCall(false)
 	}
 }
 
-// judgeDirect waits, after an answer through another daemon, whether a direct copy is answered too, and
-// then ends all copies. A repeat may be answered sooner than the first copy, so the answer through the
-// other daemon does not tell that the direct one is lost.
-func (h *hedge) judgeDirect(endCopies func()) {
-	defer endCopies()
-	timer := time.After(h.call.Wait + logTimeout - (h.log.clock() - h.directSince))
-	for {
-		select {
-		case result := <-h.results:
-			if result.relay == "" {
-				h.log.recordDirectCall(isLogAnswer(result.err))
-				return
-			}
-		case <-timer:
-			h.log.recordDirectCall(false)
-			return
-		}
-	}
-}
-
-// answered takes the first answer of the log into account.
+// answered takes the first answer into account. If it came through another daemon, a direct copy that
+// was sent long enough before counts as not answered.
 func (h *hedge) answered(result copyResult) {
 	r := h.log
-	if result.relay == "" {
+	switch {
+	case result.relay == "":
 		r.recordDirectCall(true)
+	case r.clock()-h.directSince > result.took+minHedgeDelay/2:
+		r.recordDirectCall(false)
 	}
 	if h.call.Kind != "append" {
 		return
