--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -162,6 +162,7 @@
 	if t.stopLeading != nil {
 		t.cfg.Logger.Warn().Str("event", "leadership_given_up").Int64("term", t.leader.Term).Str("reason", why).Send()
 		t.stopLeading()
+		t.stopLeading = nil
 	}
 }
 
