Plan gangs of a queue whose advisor a configuration takes away

Cause: a gang with answers of the advisor asked it for the duration of a call; without an advisor that is a nil pointer, and each leader ended with a panic. Test: TestGangStartsAfterAdvisorIsTakenAway panics before, passes.

--- a/sched/advice_test.go
+++ b/sched/advice_test.go
@@ -101,3 +101,22 @@
 		t.Errorf("%d tasks start once all answers together allow enough machines, want 60", len(got))
 	}
 }
+
+// TestGangStartsAfterAdvisorIsTakenAway guards against a leader that ends with a panic, as its successors
+// do, because a configuration takes away the advisor of a queue while a gang has answers of it.
+func TestGangStartsAfterAdvisorIsTakenAway(t *testing.T) {
+	f := newEngineFixture(t, []Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2,
+		Advisor: &Advisor{TicketLife: time.Second}}}, worker("a"), worker("b"))
+	f.submit(Step{Count: 2, Gang: true, Estimate: time.Minute, Need: machine.Resources{CPUMilli: 4000, MemoryMiB: 100}})
+	f.planAndConfirm()
+	request, ok := f.engine.NextAdviceRequest(time.Hour, false, f.now)
+	if !ok {
+		t.Fatal("no advice request for a waiting gang")
+	}
+	f.engine.AdviceAnswered(request, map[string]string{"a": "ticket"}, time.Second, true, f.now, f.now)
+	f.engine.SetQueues(2, plainQueues)
+	f.now += time.Second
+	if got := f.planAndConfirm(); len(got) != 2 {
+		t.Errorf("started %v, want both members on machines of a queue without an advisor", got)
+	}
+}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -72,9 +72,10 @@
 
 // staleTickets returns the machines whose tickets must be renewed before s can start on
 // all of them. It returns nil if all tickets are valid now; otherwise also the tickets
-// that would expire before the advice request is answered are renewed.
+// that would expire before the advice request is answered are renewed. A queue without an
+// advisor needs no tickets, also if it had one when s got its answers.
 func (p *pass) staleTickets(s *step, machines []*machineState) []*machineState {
-	if lo.EveryBy(machines, func(m *machineState) bool { return s.advice.allows(m, p.now) }) {
+	if s.occ.job.queue.Advisor == nil || lo.EveryBy(machines, func(m *machineState) bool { return s.advice.allows(m, p.now) }) {
 		return nil
 	}
 	requestTime := s.occ.job.queue.Advisor.CallDuration(len(machines)) + placementSlack/2
