--- a/cell/changes.go
+++ b/cell/changes.go
@@ -49,6 +49,13 @@
 	return c.drained
 }
 
+// isClosed reports whether no new changes are let in.
+func (c *openChanges) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // finishChanges refuses new changes of jobs and sends no more orders, and waits up to limit until the
 // open changes are stored or refused.
 func (l *leadership) finishChanges(limit time.Duration) {
@@ -63,10 +70,3 @@
 	}
 	l.logger.Info().Str("event", "changes_finished").Bool("all", finished).Int64("took_ms", (l.clock() - began).Milliseconds()).Send()
 }
-
-// isClosed reports whether no new changes are let in.
-func (c *openChanges) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
-}
--- a/cell/succession.go
+++ b/cell/succession.go
@@ -37,11 +37,11 @@
 // queue at the log and delay the heartbeats of the one that succeeds.
 //
 // It is safe for any values: a claim is stored only if its writer has read all heartbeats of the
-// leader, and it is sent later than Leader.Tenure after the last one was read, and so after the end of
-// the tenure that this heartbeat gives:
+// leader, and it is sent later than the tenure that the last one gives after that was read, and so after
+// the end of this tenure:
 //
 //	sent by the leader <= read by the claimant
-//	end of tenure = sent + Tenure < read + Tenure + takeoverMargin <= claim
+//	end of tenure = sent + tenure < read + tenure + takeoverMargin <= claim
 type succession struct {
 	leader       Leader // last known
 	self         Leader
--- a/cell/tenure.go
+++ b/cell/tenure.go
@@ -21,7 +21,7 @@
 	// minHeartbeatPause is the least pause between the answer to a heartbeat and the next one.
 	minHeartbeatPause = 20 * time.Millisecond
 	// minTenure and maxTenure bound how long a leader may give orders after it sent a heartbeat that was
-	// stored. The leader publishes the duration that it uses, see Leader.Tenure. maxTenure is also the
+	// stored. The leader publishes the duration that it uses, see Leader.TenureMillis. maxTenure is also the
 	// duration of leaders that publish none.
 	minTenure = 450 * time.Millisecond
 	maxTenure = 700 * time.Millisecond
@@ -100,7 +100,7 @@
 
 // Tenure follows which daemon leads the cell, and claims leadership when none does. A daemon leads
 // for a term, which begins with its claim. Within its term it holds the tenure, the right to give
-// orders, only for Leader.Tenure after it sent each heartbeat that was stored.
+// orders, only for the time that each stored heartbeat says (Leader.TenureMillis), after it was sent.
 //
 // Every append to the stream, be it a claim, a heartbeat or a resignation, has the condition that the
 // stream still ends where the writer has read it. So no heartbeat of a leader is stored after the
