--- a/cell/hedge.go
+++ b/cell/hedge.go
@@ -69,7 +69,7 @@
 func (h *hedge) run(ctx context.Context, delay time.Duration) (Page, error) {
 	h.send(ctx)
 	if !h.log.reachesLog() && h.log.hasRelay() {
-		h.send(ctx) // shows at once which way is answered
+		h.send(ctx) // through another daemon, so that this call need not wait for the direct copy
 	}
 	var unknownErr error
 	for {
@@ -138,7 +138,7 @@
 	}()
 }
 
-// failed takes into account that a copy was not answered by the log.
+// failed takes into account that a copy was refused or broke, so that the log did not answer it.
 func (h *hedge) failed(result copyResult) {
 	if result.relay == "" {
 		h.log.recordDirectCall(false)
--- a/cell/peers.go
+++ b/cell/peers.go
@@ -41,15 +41,15 @@
 	return out
 }
 
-// refreshPeers forgets daemons that have not registered for maxPeerAge, and uses its successors as
-// relays. After capacityGrace it also tells the Tenure the largest capacity of the others and
-// the successors, and resigns if a daemon that reaches the log is much stronger than this one. l.mu must be held.
+// refreshPeers forgets daemons that have not registered for maxPeerAge, and uses the successors that it
+// chooses from the others as relays. After capacityGrace it also tells the Tenure these successors and
+// the largest capacity of the others, and hands over if a daemon that reaches the log is much stronger
+// than this one. l.mu must be held.
 func (l *leadership) refreshPeers(now time.Duration) {
 	for address, p := range l.peers {
 		if now-p.registeredAt > maxPeerAge {
 			delete(l.peers, address)
 			l.logger.Info().Str("event", "daemon_silent").Str("daemon", p.name).Int64("silent_ms", (now - p.registeredAt).Milliseconds()).Send()
-			continue
 		}
 	}
 	strongest, strongestWithLog := 0.0, 0.0
