--- a/cell/machines.go
+++ b/cell/machines.go
@@ -200,6 +200,7 @@
 	l.mu.Unlock()
 	notify(l.flushSignal)
 	if cutOff {
+		l.logger.Warn().Str("event", "machines_out_of_reach").Int("unresponsive", unresponsive).Int("all", all).Send()
 		l.daemon.tenure.Resign("this daemon does not reach most machines")
 	}
 }
