--- a/cell/machines.go
+++ b/cell/machines.go
@@ -221,7 +221,8 @@
 }
 
 // lost takes into account how many of all machines are unresponsive now, and reports whether most of
-// them have been for reachLossPeriod; it does so once in such a period. It is false for a leader that is younger than machineReachGrace.
+// them have been for reachLossPeriod; it does so once in such a period. It is false for a leader that
+// is younger than machineReachGrace.
 func (r *machineReach) lost(unresponsive, all int, leadingFor, now time.Duration) bool {
 	if unresponsive*2 <= all || leadingFor <= machineReachGrace {
 		r.lostSince = 0
