--- /dev/null
+++ b/review/standin/executor.go
@@ -0,0 +1,375 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// maxLeaseMs is the longest lease (maxHoldMs).
+	maxLeaseMs = 6000
+	// heartbeat is the interval at which an executor writes its entry (heartbeatMs).
+	heartbeat = 1500 * time.Millisecond
+	// endsPerAnswer is how many ends one answer returns.
+	endsPerAnswer = 500
+	// stopTime is how long a stop takes, within stopTimeoutMs.
+	stopTime = 50 * time.Millisecond
+)
+
+// Event is one thing that an executor has done with a run.
+type Event struct {
+	At       time.Time
+	Kind     string // start, end or noted: the end was taken note of, because lastSeen has reached it
+	Executor string
+	Task     string
+	Run      int64
+	How      string // of an end
+	Lapsed   int    // leases of the executor that have run out so far
+}
+
+// Executor is a worker of a service. Its tasks take the time that TaskTime returns.
+type Executor struct {
+	ID, Address string
+
+	service  string
+	cpu, mem int64
+	labels   []string
+	store    *Store
+	record   *Record
+	taskTime func(task string) time.Duration
+	born     time.Time
+	cut      *cut
+
+	mu       sync.Mutex
+	events   []Event
+	token    int64
+	leaseEnd int64 // on the executor's clock
+	runs     map[string]*execution
+	highest  map[string]int64 // run that has ended or was stopped, by task
+	ends     []endRow
+	endCount int64
+	lapses   int
+	ended    chan struct{} // closed and replaced at each end
+}
+
+type execution struct {
+	run   int64
+	began time.Time
+	takes time.Duration
+	timer *time.Timer
+}
+
+type endRow struct {
+	number int64
+	task   string
+	run    int64
+	how    string
+}
+
+// ExecutorConfig describes an Executor.
+type ExecutorConfig struct {
+	ID, Service string
+	CPU, MemMb  int64
+	Labels      []string
+	TaskTime    func(task string) time.Duration
+}
+
+// NewExecutor starts an executor on a free loopback port and registers it.
+func NewExecutor(store *Store, record *Record, cfg ExecutorConfig) (*Executor, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Executor{
+		ID: cfg.ID, Address: listener.Addr().String(), service: cfg.Service, cpu: cfg.CPU, mem: cfg.MemMb,
+		labels: cfg.Labels, store: store, record: record, taskTime: cfg.TaskTime, born: time.Now(), cut: newCut(),
+		runs: map[string]*execution{}, highest: map[string]int64{}, ended: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /sassafraslb/run-start", e.serve(e.start))
+	mux.HandleFunc("POST /sassafraslb/run-stop", e.serve(e.stop))
+	mux.HandleFunc("POST /sassafraslb/hold", e.serve(e.hold))
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	go func() { _ = http.Serve(&cutListener{listener, e.cut}, mux) }()
+	go e.heartbeats()
+	go e.watchLease()
+	return e, nil
+}
+
+// heartbeats writes the entry of the executor at intervals.
+func (e *Executor) heartbeats() {
+	for sequence := 1; ; sequence++ {
+		value, err := json.Marshal(map[string]any{
+			"service": e.service, "address": e.Address, "zone": "bagmati-a", "version": "v1", "slots": 8, "state": "ready",
+			"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": e.cpu, "memMb": e.mem, "gpus": 0}, "labels": e.labels,
+			"clockMs": e.clock(), "born": e.born.UnixMilli(), "sequence": sequence,
+		})
+		if err == nil {
+			e.store.Put("keyed.servers", e.ID, value)
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+func (e *Executor) clock() int64 { return time.Since(e.born).Milliseconds() + 1 }
+
+// Cut keeps everything from the executor, and everything that it sends, for a while. Its runs go on.
+func (e *Executor) Cut(d time.Duration) {
+	e.record.Add("executor %s is cut off for %v", e.ID, d)
+	e.cut.begin()
+	time.Sleep(d)
+	e.cut.end()
+	e.record.Add("executor %s is reachable again", e.ID)
+}
+
+// Running returns how many runs the executor has.
+func (e *Executor) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.runs)
+}
+
+// Events returns what has happened so far.
+func (e *Executor) Events() []Event {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Event(nil), e.events...)
+}
+
+// add keeps an event. mu must be held.
+func (e *Executor) add(kind, task string, run int64, how string) {
+	e.events = append(e.events, Event{time.Now(), kind, e.ID, task, run, how, e.lapses})
+	e.record.Add("executor %s: %s of task %s run %d %s", e.ID, kind, task, run, how)
+}
+
+// order is the body of each request.
+type order struct {
+	Task         string `json:"task"`
+	Run          int64  `json:"run"`
+	Spec         string `json:"spec"`
+	DeadlineMs   int64  `json:"deadlineMs"`
+	FencingToken int64  `json:"fencingToken"`
+	LastSeen     int64  `json:"lastSeen"`
+	WaitMs       int64  `json:"waitMs"`
+}
+
+// serve returns the handler of a call. It checks the lifetime and the fencing token, and takes the lease.
+func (e *Executor) serve(call func(o order) (int, map[string]any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var o order
+		if id := r.Header.Get("X-Expect-Instance"); id != "" && id != e.ID {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		e.mu.Lock()
+		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
+		if o.FencingToken >= e.token {
+			e.token = o.FencingToken
+			status, body = call(o)
+		}
+		body["clockMs"] = e.clock()
+		e.mu.Unlock()
+		data, err := json.Marshal(body)
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		reply(w, status, string(data))
+	}
+}
+
+// extend extends the lease. mu must be held.
+func (e *Executor) extend(deadline int64) {
+	e.leaseEnd = max(e.leaseEnd, min(deadline, e.clock()+maxLeaseMs))
+}
+
+// watchLease ends all runs when the lease runs out.
+func (e *Executor) watchLease() {
+	for range time.Tick(20 * time.Millisecond) {
+		e.mu.Lock()
+		if e.leaseEnd != 0 && e.clock() > e.leaseEnd && len(e.runs) > 0 {
+			e.lapses++
+			for task := range e.runs {
+				e.finish(task, "lapsed")
+			}
+		}
+		e.mu.Unlock()
+	}
+}
+
+// start serves run-start. mu must be held, as in all calls.
+func (e *Executor) start(o order) (int, map[string]any) {
+	if x := e.runs[o.Task]; x != nil && x.run == o.Run {
+		e.extend(o.DeadlineMs)
+		return http.StatusOK, map[string]any{}
+	}
+	if o.DeadlineMs <= e.clock() {
+		return http.StatusConflict, map[string]any{"reason": "late"}
+	}
+	e.extend(o.DeadlineMs)
+	if o.Run <= e.highest[o.Task] || e.runs[o.Task] != nil {
+		return http.StatusConflict, map[string]any{"reason": "old"}
+	}
+	x := &execution{run: o.Run, began: time.Now(), takes: e.taskTime(o.Task)}
+	e.runs[o.Task] = x
+	e.add("start", o.Task, o.Run, "")
+	x.timer = time.AfterFunc(x.takes, func() { e.finishLater(o.Task, x, "done") })
+	return http.StatusOK, map[string]any{}
+}
+
+// finishLater ends a run unless it has ended.
+func (e *Executor) finishLater(task string, x *execution, how string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runs[task] == x {
+		e.finish(task, how)
+	}
+}
+
+// finish ends the run of a task. mu must be held.
+func (e *Executor) finish(task, how string) {
+	x := e.runs[task]
+	x.timer.Stop()
+	delete(e.runs, task)
+	e.highest[task] = max(e.highest[task], x.run)
+	e.endCount++
+	e.ends = append(e.ends, endRow{e.endCount, task, x.run, how})
+	e.add("end", task, x.run, how)
+	close(e.ended)
+	e.ended = make(chan struct{})
+}
+
+// stop serves run-stop.
+func (e *Executor) stop(o order) (int, map[string]any) {
+	if x := e.runs[o.Task]; x != nil && x.run <= o.Run {
+		time.AfterFunc(stopTime, func() { e.finishLater(o.Task, x, "stopped") })
+	}
+	e.highest[o.Task] = max(e.highest[o.Task], o.Run)
+	return http.StatusOK, map[string]any{}
+}
+
+// hold serves hold: it forgets the ends up to lastSeen, waits for one if there is none, and lists runs and ends.
+func (e *Executor) hold(o order) (int, map[string]any) {
+	e.extend(o.DeadlineMs)
+	for len(e.ends) > 0 && e.ends[0].number <= o.LastSeen {
+		x := e.ends[0]
+		e.add("noted", x.task, x.run, x.how)
+		e.ends = e.ends[1:]
+	}
+	if len(e.ends) == 0 && o.WaitMs > 0 {
+		ended := e.ended
+		e.mu.Unlock()
+		select {
+		case <-ended:
+		case <-time.After(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond):
+		}
+		e.mu.Lock()
+	}
+	running, ended := [][]any{}, [][]any{}
+	for task, x := range e.runs {
+		percent := min(int(100*time.Since(x.began)/x.takes), 99)
+		running = append(running, []any{task, x.run, "", percent, 10})
+	}
+	sort.Slice(running, func(i, j int) bool { return running[i][0].(string) < running[j][0].(string) })
+	for _, x := range e.ends[:min(len(e.ends), endsPerAnswer)] {
+		ended = append(ended, []any{x.number, x.task, x.run, x.how, ""})
+	}
+	return http.StatusOK, map[string]any{"running": running, "ended": ended, "born": e.born.UnixMilli()}
+}
+
+// cut is a partition in front of an executor. What is sent during it is lost, and connections that it has hit break
+// when it is over.
+type cut struct {
+	mu     sync.Mutex
+	count  int           // partitions so far
+	healed chan struct{} // closed while there is none
+}
+
+func newCut() *cut {
+	c := &cut{healed: make(chan struct{})}
+	close(c.healed)
+	return c
+}
+
+func (c *cut) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count++
+	c.healed = make(chan struct{})
+}
+
+func (c *cut) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.healed)
+}
+
+// state returns the number of partitions so far, and a channel that is closed while there is none.
+func (c *cut) state() (int, chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count, c.healed
+}
+
+type cutListener struct {
+	net.Listener
+	cut *cut
+}
+
+// Accept implements net.Listener.
+func (l *cutListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	count, healed := l.cut.state()
+	select {
+	case <-healed:
+	default:
+		count-- // opened during a partition
+	}
+	return &cutConn{conn, l.cut, count}, nil
+}
+
+type cutConn struct {
+	net.Conn
+	cut   *cut
+	count int // partitions when it was opened
+}
+
+// pass waits for the end of a partition and fails if one has hit the connection.
+func (c *cutConn) pass() error {
+	count, healed := c.cut.state()
+	if count == c.count {
+		return nil
+	}
+	<-healed
+	_ = c.Close()
+	return fmt.Errorf("the connection was cut")
+}
+
+// Read implements net.Conn.
+func (c *cutConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if failed := c.pass(); failed != nil {
+		return 0, failed
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *cutConn) Write(b []byte) (int, error) {
+	if err := c.pass(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
