--- a/review/2/main.go
+++ b/review/2/main.go
@@ -36,14 +36,12 @@
 }
 
 func run(c *standin.Cell, trouble bool) (bool, error) {
-	var executors []*standin.Executor
 	for i := range 6 {
-		e, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: fmt.Sprintf("i-%d", i), Service: "matdesk",
+		_, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: fmt.Sprintf("i-%d", i), Service: "matdesk",
 			CPU: 32000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)}, TaskTime: taskTime})
 		if err != nil {
 			return false, err
 		}
-		executors = append(executors, e)
 	}
 	route := standin.Route{Name: "rotation", Host: "nony24.example", Prefix: "/pufi791/", Service: "matdesk", MaxAttempts: 3}
 	c.Configure(1, "matdesk", route)
