review: case 2, tasks of a worker in a crash loop are never started again

Cause: a restart that is seen in the host list keeps the runs that no poll has listed, and their lease is no longer watched until the worker answers. Change: a script with a worker that crashes, starts again under its id, writes its entry and crashes for good.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,47 +1,39 @@
-// Command 2 shows that one job of many steps, within the limit of request bodies, stops the cell from storing anything.
+// Command 2 shows that the tasks of a worker that crashes, starts again under its id and crashes for good are never
+// started again.
 package main
 
 import (
-	"encoding/json"
+	"cmp"
 	"fmt"
-	"net/http"
-	"strings"
-	"sync"
-	"sync/atomic"
+	"os"
+	"slices"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/review/standin"
 )
 
 const (
-	// manySteps and fewSteps are the steps of the job with and without the disruption. maxBody is the limit of request
-	// bodies in the configuration.
-	manySteps, fewSteps = 6500, 500
-	maxBody             = 262144
-	// retries is how often a client of the site sends a request again.
-	retries = 4
-	// ackTime is ackMs of the site. patience is for how long the clients try to cancel.
-	ackTime, patience = 4 * time.Second, 20 * time.Second
-	cancelled, fresh  = 6, 6
+	jobs, width = 3, 4
+	tasks       = jobs * width
+	taskTime    = 6 * time.Second
+	// downTime is the time between the crash and the start under the same id.
+	downTime = time.Second
+	// watched is for how long the tasks may take in all. It is four times what a lease of 6 s and the tasks take.
+	watched = 50 * time.Second
 )
 
 func main() { standin.Main(3, run) }
 
-// taskTime lets the tasks of the first jobs, whose ids begin with c, run until they are cancelled.
-func taskTime(task string) time.Duration {
-	if strings.HasPrefix(task, "c") {
-		return 90 * time.Second
-	}
-	return time.Second
-}
-
 func run(c *standin.Cell, trouble bool) (bool, error) {
-	for i := range 6 {
-		_, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: fmt.Sprintf("i-%d", i), Service: "matdesk",
-			CPU: 32000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)}, TaskTime: taskTime})
+	var executors []*standin.Executor
+	for i := range 8 { // one worker of eight is within the share of 0.14
+		e, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: fmt.Sprintf("i-%d", i), Service: "matdesk",
+			CPU: 32000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)},
+			TaskTime: func(string) time.Duration { return taskTime }})
 		if err != nil {
 			return false, err
 		}
+		executors = append(executors, e)
 	}
 	route := standin.Route{Name: "rotation", Host: "nony24.example", Prefix: "/pufi791/", Service: "matdesk", MaxAttempts: 3}
 	c.Configure(1, "matdesk", route)
@@ -53,65 +45,44 @@
 	if err := c.WaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
-	small := map[string]any{"spec": "ordinary job", "steps": []map[string]any{{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 1000}}}
-	for i := range cancelled {
-		if !c.Submit(route, fmt.Sprintf("c%015x", i), small, retries+1) {
-			return false, fmt.Errorf("an ordinary job was not accepted before the disruption")
+	time.Sleep(4 * time.Second)
+	job := map[string]any{"spec": "ordinary job", "steps": []map[string]any{{"count": width, "cpu": 2000, "memMb": 1000, "estimateMs": 6000}}}
+	id := func(i int) string { return fmt.Sprintf("%016x", 0xc00+i) }
+	for i := range jobs {
+		if !c.Submit(route, id(i), job, 4) {
+			return false, fmt.Errorf("job %d was not accepted", i)
 		}
 	}
-	time.Sleep(time.Second)
-
-	steps := fewSteps
+	time.Sleep(300 * time.Millisecond)
+	worker := slices.MaxFunc(executors, func(a, b *standin.Executor) int { return cmp.Compare(a.Running(), b.Running()) })
+	began := time.Now()
 	if trouble {
-		steps = manySteps
-	}
-	big := map[string]any{"spec": "many steps", "steps": slicesRepeat(map[string]any{"count": 1, "cpu": 10, "memMb": 1}, steps)}
-	data, err := json.Marshal(big)
-	if err != nil || len(data) > maxBody {
-		return false, fmt.Errorf("the job has %d bytes, %v", len(data), err)
+		worker.Crash()
+		if os.Getenv("ONCE") == "" {
+			time.Sleep(downTime)
+			worker.StartsAndCrashes()
+		} else {
+			worker.GoneForGood()
+		}
 	}
-	c.Record.Add("client: hands in a job of %d steps in %d bytes", steps, len(data))
-	go c.Submit(route, "b000000000000001", big, retries+1)
-	time.Sleep(time.Second)
-
-	// The clients of the first jobs cancel them, and others hand in ordinary jobs.
-	var group sync.WaitGroup
-	var late, never, accepted atomic.Int32
-	for i := range cancelled {
-		group.Go(func() {
-			began := time.Now()
-			for time.Since(began) < patience {
-				a := c.Call(c.Daemons[i%len(c.Daemons)], http.MethodDelete, route, fmt.Sprintf("c%015x", i), nil)
-				if a.Status/100 == 2 || a.Status == http.StatusGone {
-					if time.Since(began) > ackTime {
-						late.Add(1)
-					}
-					return
-				}
-				time.Sleep(500 * time.Millisecond)
-			}
-			late.Add(1)
-			never.Add(1)
-		})
+	completed := 0
+	for end := began.Add(watched); time.Now().Before(end) && completed < jobs; {
+		if c.Call(c.Daemons[0], "GET", route, id(completed), nil).Body == `{"state":"completed"}` {
+			completed++
+			continue
+		}
+		time.Sleep(500 * time.Millisecond)
 	}
-	for i := range fresh {
-		group.Go(func() {
-			if c.Submit(route, fmt.Sprintf("f%015x", i), small, retries+1) {
-				accepted.Add(1)
-			}
-		})
+	done, running := map[string]bool{}, 0
+	for _, e := range standin.AllEvents(executors) {
+		if e.Kind == "end" && e.How == "done" {
+			done[e.Task] = true
+		}
 	}
-	group.Wait()
-	c.Record.Say("%d of %d cancels had no answer with 2xx or 410 after %v, %d never had one in %v; %d of %d new jobs were accepted",
-		late.Load(), cancelled, ackTime, never.Load(), patience, accepted.Load(), fresh)
-	return late.Load() >= 3, nil
-}
-
-// slicesRepeat returns a list of n times x.
-func slicesRepeat(x any, n int) []any {
-	out := make([]any, n)
-	for i := range out {
-		out[i] = x
+	for _, e := range executors {
+		running += e.Running()
 	}
-	return out
+	c.Record.Say("after %v %d of %d tasks have ended done and %d run; %d of %d jobs are completed", time.Since(began).Round(time.Second),
+		len(done), tasks, running, completed, jobs)
+	return completed < jobs && running == 0, nil
 }
--- a/review/standin/cell.go
+++ b/review/standin/cell.go
@@ -412,3 +412,22 @@
 	record.Say("the rule held")
 	return 0
 }
+
+// Leader returns the daemon that was the last to log that it leads, nil if there is none.
+func (c *Cell) Leader() *Daemon {
+	var leader *Daemon
+	var latest string
+	for _, d := range c.Daemons {
+		data, err := os.ReadFile(d.log)
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			var entry struct{ Event, Time string }
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Event == "leading" && entry.Time >= latest {
+				leader, latest = d, entry.Time
+			}
+		}
+	}
+	return leader
+}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -44,8 +44,10 @@
 	taskTime func(task string) time.Duration
 	born     time.Time
 	cut      *cut
+	listener net.Listener
 
 	mu       sync.Mutex
+	crashed  bool
 	events   []Event
 	token    int64
 	leaseEnd int64 // on the executor's clock
@@ -87,7 +89,7 @@
 	}
 	e := &Executor{
 		ID: cfg.ID, Address: listener.Addr().String(), service: cfg.Service, cpu: cfg.CPU, mem: cfg.MemMb,
-		labels: cfg.Labels, store: store, record: record, taskTime: cfg.TaskTime, born: time.Now(), cut: newCut(),
+		labels: cfg.Labels, store: store, record: record, taskTime: cfg.TaskTime, born: time.Now(), cut: newCut(), listener: listener,
 		runs: map[string]*execution{}, highest: map[string]int64{}, ended: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -103,19 +105,62 @@
 
 // heartbeats writes the entry of the executor at intervals.
 func (e *Executor) heartbeats() {
-	for sequence := 1; ; sequence++ {
-		value, err := json.Marshal(map[string]any{
-			"service": e.service, "address": e.Address, "zone": "bagmati-a", "version": "v1", "slots": 8, "state": "ready",
-			"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": e.cpu, "memMb": e.mem, "gpus": 0}, "labels": e.labels,
-			"clockMs": e.clock(), "born": e.born.UnixMilli(), "sequence": sequence,
-		})
-		if err == nil {
-			e.store.Put("keyed.servers", e.ID, value)
-		}
+	for sequence := 1; !e.isCrashed(); sequence++ {
+		e.writeEntry(e.born, sequence)
 		time.Sleep(heartbeat)
 	}
 }
 
+// writeEntry writes the entry of a lifetime.
+func (e *Executor) writeEntry(born time.Time, sequence int) {
+	value, err := json.Marshal(map[string]any{
+		"service": e.service, "address": e.Address, "zone": "bagmati-a", "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": e.cpu, "memMb": e.mem, "gpus": 0}, "labels": e.labels,
+		"clockMs": time.Since(born).Milliseconds() + 1, "born": born.UnixMilli(), "sequence": sequence,
+	})
+	if err == nil {
+		e.store.Put("keyed.servers", e.ID, value)
+	}
+}
+
+func (e *Executor) isCrashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
+// Crash ends the executor with all its runs. It sends nothing any more, and its port refuses connections.
+func (e *Executor) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = true
+	for task, x := range e.runs {
+		x.timer.Stop()
+		e.events = append(e.events, Event{time.Now(), "crash", e.ID, task, x.run, "", e.lapses})
+	}
+	e.record.Add("executor %s: crash with %d runs", e.ID, len(e.runs))
+	e.runs = map[string]*execution{}
+	_ = e.listener.Close()
+	e.cut.breakAll()
+}
+
+// StartsAndCrashes starts the executor again under its id. It writes its entry and crashes before it listens. The store
+// removes the entry after three intervals without another.
+func (e *Executor) StartsAndCrashes() {
+	e.record.Add("executor %s: starts again under its id, writes its entry, and crashes for good", e.ID)
+	e.writeEntry(time.Now(), 1)
+	time.AfterFunc(3*heartbeat, e.removeEntry)
+}
+
+// removeEntry removes the entry, as the platform does after a silence of three intervals.
+func (e *Executor) removeEntry() {
+	e.record.Add("executor %s: its entry is removed", e.ID)
+	e.store.Put("keyed.servers", e.ID, nil)
+}
+
+// GoneForGood tells the store to remove the entry of a crashed executor.
+func (e *Executor) GoneForGood() { time.AfterFunc(3*heartbeat, e.removeEntry) }
+
 func (e *Executor) clock() int64 { return time.Since(e.born).Milliseconds() + 1 }
 
 // Cut keeps everything from the executor, and everything that it sends, for a while. Its runs go on.
@@ -290,6 +335,7 @@
 // when it is over.
 type cut struct {
 	mu     sync.Mutex
+	conns  []net.Conn
 	count  int           // partitions so far
 	healed chan struct{} // closed while there is none
 }
@@ -313,6 +359,15 @@
 	close(c.healed)
 }
 
+// breakAll closes all connections.
+func (c *cut) breakAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
 // state returns the number of partitions so far, and a channel that is closed while there is none.
 func (c *cut) state() (int, chan struct{}) {
 	c.mu.Lock()
@@ -337,6 +392,9 @@
 	default:
 		count-- // opened during a partition
 	}
+	l.cut.mu.Lock()
+	l.cut.conns = append(l.cut.conns, conn)
+	l.cut.mu.Unlock()
 	return &cutConn{conn, l.cut, count}, nil
 }
 
