review: case 3, a new leader keeps a configuration that was replaced meanwhile

Cause: a leader loads the configuration before it restores its state and is known to the watcher of the configuration only after that. Change: a script that kills the leader of a cell with 1,500 waiting jobs and writes a configuration while the next one takes over.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,9 +1,12 @@
-// Command 3 shows that an accepted job is not carried on after a rolling restart if its route has been removed.
+// Command 3 shows that a new leader keeps a configuration that was replaced while it read the state of the cell.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
-	"strings"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -11,36 +14,36 @@
 )
 
 const (
-	// firstTime is how long the tasks of the first step run, which spans the rolling restart.
-	firstTime = 20 * time.Second
-	// finish is finish_s of the site, and idle is how long a job may have nothing running while its turn has come.
-	finish, idle = 14 * time.Second, 3 * time.Second
-	// stopGap is the pause between the daemons of a rolling restart; grace is graceS.
-	stopGap, grace = 1300 * time.Millisecond, 6 * time.Second
+	// backlog is the number of periodic jobs that wait, and occurrences how often each runs.
+	backlog, occurrences = 1500, 24
+	// applied is longer than configApplyMs and contactMs of the site.
+	applied = 6 * time.Second
+	jobs    = 10
 )
 
 func main() { standin.Main(3, run) }
 
-func taskTime(task string) time.Duration {
-	if strings.Contains(task, ".0.0.") {
-		return firstTime
-	}
-	return time.Second
-}
-
 func run(c *standin.Cell, trouble bool) (bool, error) {
 	var executors []*standin.Executor
+	service := map[string]string{}
 	for i := range 6 {
-		e, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: fmt.Sprintf("i-%d", i), Service: "matdesk",
-			CPU: 32000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)}, TaskTime: taskTime})
+		id, name := fmt.Sprintf("i-%d", i), "olddesk"
+		if i%2 == 1 {
+			name = "newdesk"
+		}
+		service[id] = name
+		e, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: id, Service: name, CPU: 32000, MemMb: 65536,
+			Labels:   []string{"a", fmt.Sprintf("r1-%d", i)},
+			TaskTime: func(string) time.Duration { return time.Second }})
 		if err != nil {
 			return false, err
 		}
 		executors = append(executors, e)
 	}
-	old := standin.Route{Name: "rotation", Host: "nony24.example", Prefix: "/pufi791/", Service: "matdesk", MaxAttempts: 3}
-	kept := standin.Route{Name: "quotes", Host: "nony24.example", Prefix: "/pule252/", Service: "matdesk", MaxAttempts: 2}
-	c.Configure(1, "matdesk", old, kept)
+	route := func(service string) standin.Route {
+		return standin.Route{Name: "rotation", Host: "nony24.example", Prefix: "/pufi791/", Service: service, MaxAttempts: 3}
+	}
+	c.Configure(1, "olddesk", route("olddesk"))
 	for _, d := range c.Daemons {
 		if err := d.Start(); err != nil {
 			return false, err
@@ -49,58 +52,95 @@
 	if err := c.WaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
-	step := func(depends ...int) map[string]any {
-		return map[string]any{"count": 4, "cpu": 2000, "memMb": 2000, "estimateMs": 2000, "dependsOn": depends}
+	// Periodic jobs of many teams, which run once an hour from tomorrow on.
+	var group sync.WaitGroup
+	var refused atomic.Int32
+	next := make(chan int)
+	for range 60 {
+		group.Go(func() {
+			for i := range next {
+				job := map[string]any{"spec": "hourly", "startAtMs": time.Now().Add(24 * time.Hour).UnixMilli(),
+					"intervalMs": 3600000, "repeatCount": occurrences,
+					"steps": []map[string]any{{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 1000}}}
+				if !c.Submit(route(""), fmt.Sprintf("d%015x", i), job, 4) {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	for i := range backlog {
+		next <- i
+	}
+	close(next)
+	group.Wait()
+	if refused.Load() > 0 {
+		return false, fmt.Errorf("%d periodic jobs were not accepted", refused.Load())
 	}
-	job := map[string]any{"spec": "two steps", "steps": []map[string]any{step(), step(0)}}
-	// The same job on both routes: the one whose route stays is the control.
-	if !c.Submit(old, "00000000000000a3", job, 4) || !c.Submit(kept, "00000000000000b3", job, 4) {
-		return false, fmt.Errorf("a job was not accepted")
+	leader := c.Leader()
+	if leader == nil {
+		return false, fmt.Errorf("no daemon has logged that it leads")
 	}
-	time.Sleep(2 * time.Second)
-	c.Configure(2, "matdesk", kept)
-	time.Sleep(4 * time.Second) // longer than configApplyMs
+	time.Sleep(4 * time.Second)
 	if trouble {
-		for _, d := range c.Daemons {
-			d.Signal(syscall.SIGTERM)
-			select {
-			case <-d.Exited():
-			case <-time.After(grace):
-				d.Signal(syscall.SIGKILL)
-				<-d.Exited()
-			}
-			if err := d.Start(); err != nil {
-				return false, err
+		// The operator's change comes while the next leader takes over.
+		changed := make(chan struct{})
+		var once sync.Once
+		before := c.Store.Epoch("keyed.state")
+		c.Store.OnRead = func(topic string, epoch int64) {
+			if topic == "keyed.state" && epoch > before {
+				once.Do(func() {
+					go func() {
+						time.Sleep(15 * time.Millisecond)
+						c.Configure(2, "newdesk", route("newdesk"))
+						close(changed)
+					}()
+				})
 			}
-			time.Sleep(stopGap)
 		}
-		if err := c.WaitReady(15 * time.Second); err != nil {
-			return false, err
+		leader.Signal(syscall.SIGKILL)
+		select {
+		case <-changed:
+		case <-time.After(10 * time.Second):
+			return false, fmt.Errorf("no daemon has taken over")
 		}
+	} else {
+		c.Configure(2, "newdesk", route("newdesk"))
 	}
-	done := func(prefix string) (count int, last time.Time) {
-		for _, e := range standin.AllEvents(executors) {
-			if e.Kind == "end" && e.How == "done" && strings.HasPrefix(e.Task, prefix) {
-				count, last = count+1, e.At
+	time.Sleep(applied)
+	sent := time.Now()
+	accepted := 0
+	for i := range jobs {
+		job := map[string]any{"spec": "ordinary", "steps": []map[string]any{{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 1000}}}
+		for _, d := range c.Daemons {
+			if trouble && d == leader {
+				continue
+			}
+			if a := c.Call(d, http.MethodPost, route(""), fmt.Sprintf("e%015x", i), mustJSON(job)); a.Status == http.StatusOK {
+				accepted++
+				break
 			}
 		}
-		return count, last
 	}
-	// The first step ends firstTime after its start, and the second one takes a second.
-	for end := time.Now().Add(firstTime + finish); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		a, _ := done("00000000000000a3.0.1.")
-		b, _ := done("00000000000000b3.0.1.")
-		if a == 4 && b == 4 {
-			break
+	time.Sleep(4 * time.Second)
+	old, other := 0, 0
+	for _, e := range standin.AllEvents(executors) {
+		if e.Kind == "start" && e.At.After(sent) {
+			if service[e.Executor] == "olddesk" {
+				old++
+			} else {
+				other++
+			}
 		}
 	}
-	first, at := done("00000000000000a3.0.0.")
-	second, _ := done("00000000000000a3.0.1.")
-	control, _ := done("00000000000000b3.0.1.")
-	if first < 4 || control < 4 {
-		return false, fmt.Errorf("%d tasks of the first step and %d of the other job's second step have ended done", first, control)
+	c.Record.Say("of %d jobs sent %v after the change, %d were accepted; %d tasks were started by the old service, %d by the new one",
+		jobs, applied, accepted, old, other)
+	return old > 0, nil
+}
+
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
 	}
-	c.Record.Say("job whose route was removed: %d of 4 tasks of its second step have ended done, %.1f s after the first step; job whose route stays: %d of 4",
-		second, time.Since(at).Seconds(), control)
-	return second < 4 && time.Since(at) > idle, nil
+	return data
 }
