review: case 2, every task is stopped on a worker that is back under its id

Cause: the time at which a draining worker leaves is kept when it starts again. Change: a script with one planned restart of a worker, before a service and a batch for it are handed in.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,35 +1,45 @@
-// Command 2 shows that the tasks of a worker that crashes, starts again under its id and crashes for good are never
-// started again.
+// Command 2 shows that every task is stopped that starts on a worker which has drained and is back under its id.
 package main
 
 import (
-	"cmp"
 	"fmt"
-	"os"
-	"slices"
+	"net/http"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/review/standin"
 )
 
 const (
-	jobs, width = 3, 4
-	tasks       = jobs * width
-	taskTime    = 6 * time.Second
-	// downTime is the time between the crash and the start under the same id.
-	downTime = time.Second
-	// watched is for how long the tasks may take in all. It is four times what a lease of 6 s and the tasks take.
-	watched = 50 * time.Second
+	// drainTime is drainMs of the site and a little longer. downTime is the time until a worker is back, and gap the
+	// pause between two workers.
+	drainTime, downTime, gap = 3 * time.Second, time.Second, time.Second
+	// replaced is the number of workers that are restarted, those of kind b: 1 of 8 is within the share of 0.15.
+	workers, replaced = 8, 1
+	// startup is how long a lasting task takes until it is at work.
+	startup = 50 * time.Millisecond
+	// settled is longer than contactMs, and watched is for how long the workers are watched.
+	settled, watched = 4 * time.Second, 30 * time.Second
+	// lasting is the number of tasks of the service, of which maxUnavailable may be away.
+	lasting, maxUnavailable = 4, 1
 )
 
 func main() { standin.Main(3, run) }
 
 func run(c *standin.Cell, trouble bool) (bool, error) {
 	var executors []*standin.Executor
-	for i := range 8 { // one worker of eight is within the share of 0.14
+	for i := range workers {
+		kind := "a"
+		if i < replaced {
+			kind = "b"
+		}
 		e, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: fmt.Sprintf("i-%d", i), Service: "matdesk",
-			CPU: 32000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)},
-			TaskTime: func(string) time.Duration { return taskTime }})
+			CPU: 32000, MemMb: 65536, Labels: []string{kind, fmt.Sprintf("r1-%d", i)}, Startup: startup,
+			TaskTime: func(task string) time.Duration {
+				if task[0] == 'e' {
+					return time.Hour
+				}
+				return 2 * time.Second
+			}})
 		if err != nil {
 			return false, err
 		}
@@ -45,44 +55,33 @@
 	if err := c.WaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
-	time.Sleep(4 * time.Second)
-	job := map[string]any{"spec": "ordinary job", "steps": []map[string]any{{"count": width, "cpu": 2000, "memMb": 1000, "estimateMs": 6000}}}
-	id := func(i int) string { return fmt.Sprintf("%016x", 0xc00+i) }
-	for i := range jobs {
-		if !c.Submit(route, id(i), job, 4) {
-			return false, fmt.Errorf("job %d was not accepted", i)
-		}
-	}
-	time.Sleep(300 * time.Millisecond)
-	worker := slices.MaxFunc(executors, func(a, b *standin.Executor) int { return cmp.Compare(a.Running(), b.Running()) })
-	began := time.Now()
 	if trouble {
-		worker.Crash()
-		if os.Getenv("ONCE") == "" {
-			time.Sleep(downTime)
-			worker.StartsAndCrashes()
-		} else {
-			worker.GoneForGood()
+		for _, e := range executors[:replaced] {
+			if err := e.Replace(drainTime, downTime); err != nil {
+				return false, err
+			}
+			time.Sleep(gap)
 		}
 	}
-	completed := 0
-	for end := began.Add(watched); time.Now().Before(end) && completed < jobs; {
-		if c.Call(c.Daemons[0], "GET", route, id(completed), nil).Body == `{"state":"completed"}` {
-			completed++
-			continue
-		}
-		time.Sleep(500 * time.Millisecond)
+	time.Sleep(settled)
+	service := map[string]any{"spec": "a service", "steps": []map[string]any{{"count": lasting, "cpu": 2000, "memMb": 1000,
+		"estimateMs": 1000, "persistent": true, "requirements": "b", "maxUnavailable": maxUnavailable, "image": "shop"}}}
+	batch := map[string]any{"spec": "a batch", "steps": []map[string]any{{"count": 4, "cpu": 2000, "memMb": 1000, "estimateMs": 2000, "requirements": "b"}}}
+	const serviceID, batchID = "e000000000000001", "b000000000000001"
+	if !c.Submit(route, serviceID, service, 4) || !c.Submit(route, batchID, batch, 4) {
+		return false, fmt.Errorf("a job was not accepted")
 	}
-	done, running := map[string]bool{}, 0
-	for _, e := range standin.AllEvents(executors) {
-		if e.Kind == "end" && e.How == "done" {
-			done[e.Task] = true
+	time.Sleep(watched)
+	events := standin.AllEvents(executors)
+	stops := standin.StopsBeyondLimit(events, serviceID+".0.0", maxUnavailable, startup)
+	starts := 0
+	for _, e := range events {
+		if e.Kind == "start" {
+			starts++
 		}
 	}
-	for _, e := range executors {
-		running += e.Running()
-	}
-	c.Record.Say("after %v %d of %d tasks have ended done and %d run; %d of %d jobs are completed", time.Since(began).Round(time.Second),
-		len(done), tasks, running, completed, jobs)
-	return completed < jobs && running == 0, nil
+	state := c.Call(c.Daemons[0], http.MethodGet, route, batchID, nil).Body
+	c.Record.Say("in %v %d starts of 8 tasks; %d stops ended a task of the service at work while others were away; the batch of 2 s is %s",
+		watched, starts, len(stops), state)
+	return len(stops) > 0, nil
 }
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,49 +1,42 @@
-// Command 3 shows that a new leader keeps a configuration that was replaced while it read the state of the cell.
+// Command 3 shows that the tasks of a worker that crashes, starts again under its id and crashes for good are never
+// started again.
 package main
 
 import (
-	"encoding/json"
+	"cmp"
 	"fmt"
-	"net/http"
-	"sync"
-	"sync/atomic"
-	"syscall"
+	"os"
+	"slices"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/review/standin"
 )
 
 const (
-	// backlog is the number of periodic jobs that wait, and occurrences how often each runs.
-	backlog, occurrences = 1500, 24
-	// applied is longer than configApplyMs and contactMs of the site.
-	applied = 6 * time.Second
-	jobs    = 10
+	jobs, width = 3, 4
+	tasks       = jobs * width
+	taskTime    = 6 * time.Second
+	// downTime is the time between the crash and the start under the same id.
+	downTime = time.Second
+	// watched is for how long the tasks may take in all. It is four times what a lease of 6 s and the tasks take.
+	watched = 50 * time.Second
 )
 
 func main() { standin.Main(3, run) }
 
 func run(c *standin.Cell, trouble bool) (bool, error) {
 	var executors []*standin.Executor
-	service := map[string]string{}
-	for i := range 6 {
-		id, name := fmt.Sprintf("i-%d", i), "olddesk"
-		if i%2 == 1 {
-			name = "newdesk"
-		}
-		service[id] = name
-		e, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: id, Service: name, CPU: 32000, MemMb: 65536,
-			Labels:   []string{"a", fmt.Sprintf("r1-%d", i)},
-			TaskTime: func(string) time.Duration { return time.Second }})
+	for i := range 8 { // one worker of eight is within the share of 0.14
+		e, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: fmt.Sprintf("i-%d", i), Service: "matdesk",
+			CPU: 32000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)},
+			TaskTime: func(string) time.Duration { return taskTime }})
 		if err != nil {
 			return false, err
 		}
 		executors = append(executors, e)
 	}
-	route := func(service string) standin.Route {
-		return standin.Route{Name: "rotation", Host: "nony24.example", Prefix: "/pufi791/", Service: service, MaxAttempts: 3}
-	}
-	c.Configure(1, "olddesk", route("olddesk"))
+	route := standin.Route{Name: "rotation", Host: "nony24.example", Prefix: "/pufi791/", Service: "matdesk", MaxAttempts: 3}
+	c.Configure(1, "matdesk", route)
 	for _, d := range c.Daemons {
 		if err := d.Start(); err != nil {
 			return false, err
@@ -52,95 +45,44 @@
 	if err := c.WaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
-	// Periodic jobs of many teams, which run once an hour from tomorrow on.
-	var group sync.WaitGroup
-	var refused atomic.Int32
-	next := make(chan int)
-	for range 60 {
-		group.Go(func() {
-			for i := range next {
-				job := map[string]any{"spec": "hourly", "startAtMs": time.Now().Add(24 * time.Hour).UnixMilli(),
-					"intervalMs": 3600000, "repeatCount": occurrences,
-					"steps": []map[string]any{{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 1000}}}
-				if !c.Submit(route(""), fmt.Sprintf("d%015x", i), job, 4) {
-					refused.Add(1)
-				}
-			}
-		})
-	}
-	for i := range backlog {
-		next <- i
-	}
-	close(next)
-	group.Wait()
-	if refused.Load() > 0 {
-		return false, fmt.Errorf("%d periodic jobs were not accepted", refused.Load())
-	}
-	leader := c.Leader()
-	if leader == nil {
-		return false, fmt.Errorf("no daemon has logged that it leads")
-	}
 	time.Sleep(4 * time.Second)
-	if trouble {
-		// The operator's change comes while the next leader takes over.
-		changed := make(chan struct{})
-		var once sync.Once
-		before := c.Store.Epoch("keyed.state")
-		c.Store.OnRead = func(topic string, epoch int64) {
-			if topic == "keyed.state" && epoch > before {
-				once.Do(func() {
-					go func() {
-						time.Sleep(15 * time.Millisecond)
-						c.Configure(2, "newdesk", route("newdesk"))
-						close(changed)
-					}()
-				})
-			}
+	job := map[string]any{"spec": "ordinary job", "steps": []map[string]any{{"count": width, "cpu": 2000, "memMb": 1000, "estimateMs": 6000}}}
+	id := func(i int) string { return fmt.Sprintf("%016x", 0xc00+i) }
+	for i := range jobs {
+		if !c.Submit(route, id(i), job, 4) {
+			return false, fmt.Errorf("job %d was not accepted", i)
 		}
-		leader.Signal(syscall.SIGKILL)
-		select {
-		case <-changed:
-		case <-time.After(10 * time.Second):
-			return false, fmt.Errorf("no daemon has taken over")
+	}
+	time.Sleep(300 * time.Millisecond)
+	worker := slices.MaxFunc(executors, func(a, b *standin.Executor) int { return cmp.Compare(a.Running(), b.Running()) })
+	began := time.Now()
+	if trouble {
+		worker.Crash()
+		if os.Getenv("ONCE") == "" {
+			time.Sleep(downTime)
+			worker.StartsAndCrashes()
+		} else {
+			worker.GoneForGood()
 		}
-	} else {
-		c.Configure(2, "newdesk", route("newdesk"))
 	}
-	time.Sleep(applied)
-	sent := time.Now()
-	accepted := 0
-	for i := range jobs {
-		job := map[string]any{"spec": "ordinary", "steps": []map[string]any{{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 1000}}}
-		for _, d := range c.Daemons {
-			if trouble && d == leader {
-				continue
-			}
-			if a := c.Call(d, http.MethodPost, route(""), fmt.Sprintf("e%015x", i), mustJSON(job)); a.Status == http.StatusOK {
-				accepted++
-				break
-			}
+	completed := 0
+	for end := began.Add(watched); time.Now().Before(end) && completed < jobs; {
+		if c.Call(c.Daemons[0], "GET", route, id(completed), nil).Body == `{"state":"completed"}` {
+			completed++
+			continue
 		}
+		time.Sleep(500 * time.Millisecond)
 	}
-	time.Sleep(4 * time.Second)
-	old, other := 0, 0
+	done, running := map[string]bool{}, 0
 	for _, e := range standin.AllEvents(executors) {
-		if e.Kind == "start" && e.At.After(sent) {
-			if service[e.Executor] == "olddesk" {
-				old++
-			} else {
-				other++
-			}
+		if e.Kind == "end" && e.How == "done" {
+			done[e.Task] = true
 		}
 	}
-	c.Record.Say("of %d jobs sent %v after the change, %d were accepted; %d tasks were started by the old service, %d by the new one",
-		jobs, applied, accepted, old, other)
-	return old > 0, nil
-}
-
-func mustJSON(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
+	for _, e := range executors {
+		running += e.Running()
 	}
-	return data
+	c.Record.Say("after %v %d of %d tasks have ended done and %d run; %d of %d jobs are completed", time.Since(began).Round(time.Second),
+		len(done), tasks, running, completed, jobs)
+	return completed < jobs && running == 0, nil
 }
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,50 +1,49 @@
-// Command 4 shows that one job of many steps, within the limit of request bodies, stops the cell from storing anything.
+// Command 4 shows that a new leader keeps a configuration that was replaced while it read the state of the cell.
 package main
 
 import (
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/review/standin"
 )
 
 const (
-	// manySteps and fewSteps are the steps of the job with and without the disruption. maxBody is the limit of request
-	// bodies in the configuration.
-	manySteps, fewSteps = 6500, 500
-	maxBody             = 262144
-	// retries is how often a client of the site sends a request again.
-	retries = 4
-	// ackTime is ackMs of the site. patience is for how long the clients try to cancel.
-	ackTime, patience = 4 * time.Second, 20 * time.Second
-	cancelled, fresh  = 6, 6
+	// backlog is the number of periodic jobs that wait, and occurrences how often each runs.
+	backlog, occurrences = 1500, 24
+	// applied is longer than configApplyMs and contactMs of the site.
+	applied = 6 * time.Second
+	jobs    = 10
 )
 
 func main() { standin.Main(3, run) }
 
-// taskTime lets the tasks of the first jobs, whose ids begin with c, run until they are cancelled.
-func taskTime(task string) time.Duration {
-	if strings.HasPrefix(task, "c") {
-		return 90 * time.Second
-	}
-	return time.Second
-}
-
 func run(c *standin.Cell, trouble bool) (bool, error) {
+	var executors []*standin.Executor
+	service := map[string]string{}
 	for i := range 6 {
-		_, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: fmt.Sprintf("i-%d", i), Service: "matdesk",
-			CPU: 32000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)}, TaskTime: taskTime})
+		id, name := fmt.Sprintf("i-%d", i), "olddesk"
+		if i%2 == 1 {
+			name = "newdesk"
+		}
+		service[id] = name
+		e, err := standin.NewExecutor(c.Store, c.Record, standin.ExecutorConfig{ID: id, Service: name, CPU: 32000, MemMb: 65536,
+			Labels:   []string{"a", fmt.Sprintf("r1-%d", i)},
+			TaskTime: func(string) time.Duration { return time.Second }})
 		if err != nil {
 			return false, err
 		}
+		executors = append(executors, e)
 	}
-	route := standin.Route{Name: "rotation", Host: "nony24.example", Prefix: "/pufi791/", Service: "matdesk", MaxAttempts: 3}
-	c.Configure(1, "matdesk", route)
+	route := func(service string) standin.Route {
+		return standin.Route{Name: "rotation", Host: "nony24.example", Prefix: "/pufi791/", Service: service, MaxAttempts: 3}
+	}
+	c.Configure(1, "olddesk", route("olddesk"))
 	for _, d := range c.Daemons {
 		if err := d.Start(); err != nil {
 			return false, err
@@ -53,65 +52,95 @@
 	if err := c.WaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
-	small := map[string]any{"spec": "ordinary job", "steps": []map[string]any{{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 1000}}}
-	for i := range cancelled {
-		if !c.Submit(route, fmt.Sprintf("c%015x", i), small, retries+1) {
-			return false, fmt.Errorf("an ordinary job was not accepted before the disruption")
-		}
-	}
-	time.Sleep(time.Second)
-
-	steps := fewSteps
-	if trouble {
-		steps = manySteps
-	}
-	big := map[string]any{"spec": "many steps", "steps": slicesRepeat(map[string]any{"count": 1, "cpu": 10, "memMb": 1}, steps)}
-	data, err := json.Marshal(big)
-	if err != nil || len(data) > maxBody {
-		return false, fmt.Errorf("the job has %d bytes, %v", len(data), err)
-	}
-	c.Record.Add("client: hands in a job of %d steps in %d bytes", steps, len(data))
-	go c.Submit(route, "b000000000000001", big, retries+1)
-	time.Sleep(time.Second)
-
-	// The clients of the first jobs cancel them, and others hand in ordinary jobs.
+	// Periodic jobs of many teams, which run once an hour from tomorrow on.
 	var group sync.WaitGroup
-	var late, never, accepted atomic.Int32
-	for i := range cancelled {
+	var refused atomic.Int32
+	next := make(chan int)
+	for range 60 {
 		group.Go(func() {
-			began := time.Now()
-			for time.Since(began) < patience {
-				a := c.Call(c.Daemons[i%len(c.Daemons)], http.MethodDelete, route, fmt.Sprintf("c%015x", i), nil)
-				if a.Status/100 == 2 || a.Status == http.StatusGone {
-					if time.Since(began) > ackTime {
-						late.Add(1)
-					}
-					return
+			for i := range next {
+				job := map[string]any{"spec": "hourly", "startAtMs": time.Now().Add(24 * time.Hour).UnixMilli(),
+					"intervalMs": 3600000, "repeatCount": occurrences,
+					"steps": []map[string]any{{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 1000}}}
+				if !c.Submit(route(""), fmt.Sprintf("d%015x", i), job, 4) {
+					refused.Add(1)
 				}
-				time.Sleep(500 * time.Millisecond)
 			}
-			late.Add(1)
-			never.Add(1)
 		})
 	}
-	for i := range fresh {
-		group.Go(func() {
-			if c.Submit(route, fmt.Sprintf("f%015x", i), small, retries+1) {
-				accepted.Add(1)
-			}
-		})
+	for i := range backlog {
+		next <- i
 	}
+	close(next)
 	group.Wait()
-	c.Record.Say("%d of %d cancels had no answer with 2xx or 410 after %v, %d never had one in %v; %d of %d new jobs were accepted",
-		late.Load(), cancelled, ackTime, never.Load(), patience, accepted.Load(), fresh)
-	return late.Load() >= 3, nil
+	if refused.Load() > 0 {
+		return false, fmt.Errorf("%d periodic jobs were not accepted", refused.Load())
+	}
+	leader := c.Leader()
+	if leader == nil {
+		return false, fmt.Errorf("no daemon has logged that it leads")
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		// The operator's change comes while the next leader takes over.
+		changed := make(chan struct{})
+		var once sync.Once
+		before := c.Store.Epoch("keyed.state")
+		c.Store.OnRead = func(topic string, epoch int64) {
+			if topic == "keyed.state" && epoch > before {
+				once.Do(func() {
+					go func() {
+						time.Sleep(15 * time.Millisecond)
+						c.Configure(2, "newdesk", route("newdesk"))
+						close(changed)
+					}()
+				})
+			}
+		}
+		leader.Signal(syscall.SIGKILL)
+		select {
+		case <-changed:
+		case <-time.After(10 * time.Second):
+			return false, fmt.Errorf("no daemon has taken over")
+		}
+	} else {
+		c.Configure(2, "newdesk", route("newdesk"))
+	}
+	time.Sleep(applied)
+	sent := time.Now()
+	accepted := 0
+	for i := range jobs {
+		job := map[string]any{"spec": "ordinary", "steps": []map[string]any{{"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 1000}}}
+		for _, d := range c.Daemons {
+			if trouble && d == leader {
+				continue
+			}
+			if a := c.Call(d, http.MethodPost, route(""), fmt.Sprintf("e%015x", i), mustJSON(job)); a.Status == http.StatusOK {
+				accepted++
+				break
+			}
+		}
+	}
+	time.Sleep(4 * time.Second)
+	old, other := 0, 0
+	for _, e := range standin.AllEvents(executors) {
+		if e.Kind == "start" && e.At.After(sent) {
+			if service[e.Executor] == "olddesk" {
+				old++
+			} else {
+				other++
+			}
+		}
+	}
+	c.Record.Say("of %d jobs sent %v after the change, %d were accepted; %d tasks were started by the old service, %d by the new one",
+		jobs, applied, accepted, old, other)
+	return old > 0, nil
 }
 
-// slicesRepeat returns a list of n times x.
-func slicesRepeat(x any, n int) []any {
-	out := make([]any, n)
-	for i := range out {
-		out[i] = x
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
 	}
-	return out
+	return data
 }
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -30,6 +30,7 @@
 	Run      int64
 	How      string // of an end
 	Lapsed   int    // leases of the executor that have run out so far
+	AtWork   bool   // at an end: the task lasts and was at work
 }
 
 // Executor is a worker of a service. Its tasks take the time that TaskTime returns.
@@ -42,12 +43,14 @@
 	store    *Store
 	record   *Record
 	taskTime func(task string) time.Duration
-	born     time.Time
+	startup  time.Duration
 	cut      *cut
-	listener net.Listener
 
 	mu       sync.Mutex
+	listener net.Listener
+	born     time.Time
 	crashed  bool
+	draining time.Time // when it will leave, zero if it doesn't drain
 	events   []Event
 	token    int64
 	leaseEnd int64 // on the executor's clock
@@ -73,12 +76,13 @@
 	how    string
 }
 
-// ExecutorConfig describes an Executor.
+// ExecutorConfig describes an Executor. Tasks last if Startup is set, and are at work when so much time has passed.
 type ExecutorConfig struct {
 	ID, Service string
 	CPU, MemMb  int64
 	Labels      []string
 	TaskTime    func(task string) time.Duration
+	Startup     time.Duration
 }
 
 // NewExecutor starts an executor on a free loopback port and registers it.
@@ -89,40 +93,80 @@
 	}
 	e := &Executor{
 		ID: cfg.ID, Address: listener.Addr().String(), service: cfg.Service, cpu: cfg.CPU, mem: cfg.MemMb,
-		labels: cfg.Labels, store: store, record: record, taskTime: cfg.TaskTime, born: time.Now(), cut: newCut(), listener: listener,
+		labels: cfg.Labels, store: store, record: record, taskTime: cfg.TaskTime, startup: cfg.Startup, cut: newCut(),
 		runs: map[string]*execution{}, highest: map[string]int64{}, ended: make(chan struct{}),
 	}
+	e.serveOn(listener)
+	go e.heartbeats()
+	go e.watchLease()
+	return e, nil
+}
+
+// serveOn begins a lifetime.
+func (e *Executor) serveOn(listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /sassafraslb/run-start", e.serve(e.start))
 	mux.HandleFunc("POST /sassafraslb/run-stop", e.serve(e.stop))
 	mux.HandleFunc("POST /sassafraslb/hold", e.serve(e.hold))
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	e.mu.Lock()
+	e.listener, e.born, e.crashed, e.draining = listener, time.Now(), false, time.Time{}
+	e.token, e.leaseEnd, e.endCount, e.ends = 0, 0, 0, nil
+	e.runs, e.highest = map[string]*execution{}, map[string]int64{}
+	e.mu.Unlock()
 	go func() { _ = http.Serve(&cutListener{listener, e.cut}, mux) }()
-	go e.heartbeats()
-	go e.watchLease()
-	return e, nil
 }
 
-// heartbeats writes the entry of the executor at intervals.
+// heartbeats writes the entry of the executor at intervals while it is up.
 func (e *Executor) heartbeats() {
-	for sequence := 1; !e.isCrashed(); sequence++ {
-		e.writeEntry(e.born, sequence)
+	for sequence := 1; ; sequence++ {
+		if !e.isCrashed() {
+			e.writeEntry(sequence)
+		}
 		time.Sleep(heartbeat)
 	}
 }
 
-// writeEntry writes the entry of a lifetime.
-func (e *Executor) writeEntry(born time.Time, sequence int) {
-	value, err := json.Marshal(map[string]any{
+// writeEntry writes the entry of this lifetime.
+func (e *Executor) writeEntry(sequence int) {
+	e.mu.Lock()
+	born, draining := e.born, e.draining
+	e.mu.Unlock()
+	entry := map[string]any{
 		"service": e.service, "address": e.Address, "zone": "bagmati-a", "version": "v1", "slots": 8, "state": "ready",
 		"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": e.cpu, "memMb": e.mem, "gpus": 0}, "labels": e.labels,
 		"clockMs": time.Since(born).Milliseconds() + 1, "born": born.UnixMilli(), "sequence": sequence,
-	})
-	if err == nil {
+	}
+	if !draining.IsZero() {
+		entry["state"], entry["remainingMs"] = "draining", max(time.Until(draining).Milliseconds(), 0)
+	}
+	if value, err := json.Marshal(entry); err == nil {
 		e.store.Put("keyed.servers", e.ID, value)
 	}
 }
 
+// Replace empties the executor and starts it again under its id: it reports that it drains, goes on for a while, leaves,
+// and is back after downTime.
+func (e *Executor) Replace(drainTime, downTime time.Duration) error {
+	e.mu.Lock()
+	e.draining = time.Now().Add(drainTime)
+	e.record.Add("executor %s: drains, and leaves in %v", e.ID, drainTime)
+	e.mu.Unlock()
+	e.writeEntry(1)
+	time.Sleep(drainTime)
+	e.end("leaves")
+	e.removeEntry()
+	time.Sleep(downTime)
+	listener, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		return err
+	}
+	e.serveOn(listener)
+	e.record.Add("executor %s: is back under its id", e.ID)
+	e.writeEntry(1)
+	return nil
+}
+
 func (e *Executor) isCrashed() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -130,15 +174,18 @@
 }
 
 // Crash ends the executor with all its runs. It sends nothing any more, and its port refuses connections.
-func (e *Executor) Crash() {
+func (e *Executor) Crash() { e.end("crash") }
+
+// end ends a lifetime.
+func (e *Executor) end(how string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.crashed = true
 	for task, x := range e.runs {
 		x.timer.Stop()
-		e.events = append(e.events, Event{time.Now(), "crash", e.ID, task, x.run, "", e.lapses})
+		e.events = append(e.events, Event{time.Now(), "lost", e.ID, task, x.run, how, e.lapses, false})
 	}
-	e.record.Add("executor %s: crash with %d runs", e.ID, len(e.runs))
+	e.record.Add("executor %s: %s with %d runs", e.ID, how, len(e.runs))
 	e.runs = map[string]*execution{}
 	_ = e.listener.Close()
 	e.cut.breakAll()
@@ -148,7 +195,10 @@
 // removes the entry after three intervals without another.
 func (e *Executor) StartsAndCrashes() {
 	e.record.Add("executor %s: starts again under its id, writes its entry, and crashes for good", e.ID)
-	e.writeEntry(time.Now(), 1)
+	e.mu.Lock()
+	e.born = time.Now()
+	e.mu.Unlock()
+	e.writeEntry(1)
 	time.AfterFunc(3*heartbeat, e.removeEntry)
 }
 
@@ -188,10 +238,16 @@
 
 // add keeps an event. mu must be held.
 func (e *Executor) add(kind, task string, run int64, how string) {
-	e.events = append(e.events, Event{time.Now(), kind, e.ID, task, run, how, e.lapses})
+	atWork := kind == "end" && e.atWork(e.runs[task])
+	e.events = append(e.events, Event{time.Now(), kind, e.ID, task, run, how, e.lapses, atWork})
 	e.record.Add("executor %s: %s of task %s run %d %s", e.ID, kind, task, run, how)
 }
 
+// atWork reports whether a run of a task that lasts is past its startup. mu must be held.
+func (e *Executor) atWork(x *execution) bool {
+	return x != nil && e.startup > 0 && time.Since(x.began) >= e.startup
+}
+
 // order is the body of each request.
 type order struct {
 	Task         string `json:"task"`
@@ -216,6 +272,10 @@
 			return
 		}
 		e.mu.Lock()
+		if e.crashed {
+			e.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
 		if o.FencingToken >= e.token {
 			e.token = o.FencingToken
@@ -284,11 +344,11 @@
 func (e *Executor) finish(task, how string) {
 	x := e.runs[task]
 	x.timer.Stop()
+	e.add("end", task, x.run, how)
 	delete(e.runs, task)
 	e.highest[task] = max(e.highest[task], x.run)
 	e.endCount++
 	e.ends = append(e.ends, endRow{e.endCount, task, x.run, how})
-	e.add("end", task, x.run, how)
 	close(e.ended)
 	e.ended = make(chan struct{})
 }
@@ -322,6 +382,9 @@
 	running, ended := [][]any{}, [][]any{}
 	for task, x := range e.runs {
 		percent := min(int(100*time.Since(x.began)/x.takes), 99)
+		if e.atWork(x) {
+			percent = 100
+		}
 		running = append(running, []any{task, x.run, "", percent, 10})
 	}
 	sort.Slice(running, func(i, j int) bool { return running[i][0].(string) < running[j][0].(string) })
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -51,3 +52,36 @@
 	}
 	return out
 }
+
+// StopsBeyondLimit returns the stops that have ended a task of a lasting step at work while limit other tasks of the step
+// were away, because such a stop had ended them and they were not at work again. startup is the time until a run is at
+// work.
+func StopsBeyondLimit(events []Event, step string, limit int, startup time.Duration) []Event {
+	stopped := map[string]bool{}      // ended by a stop at work, and not started again
+	started := map[string]time.Time{} // start of the last run
+	var out []Event
+	for _, e := range events {
+		if !strings.HasPrefix(e.Task, step+".") {
+			continue
+		}
+		switch {
+		case e.Kind == "start":
+			started[e.Task] = e.At
+		case e.Kind == "end" && e.How == "stopped":
+			away := 0
+			for task := range stopped {
+				if task != e.Task && (stopped[task] || e.At.Sub(started[task]) < startup) {
+					away++
+				}
+			}
+			if e.AtWork && away >= limit {
+				out = append(out, e)
+			}
+			stopped[e.Task] = true
+		}
+		if e.Kind == "start" {
+			stopped[e.Task] = false
+		}
+	}
+	return out
+}
