review: case 3, the worker serves for a second before it crashes for good

Cause: the first form had it crash before it listened, which is rarer. Change: the worker is back under its id for 1 s between the two crashes.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -16,8 +16,8 @@
 	jobs, width = 3, 4
 	tasks       = jobs * width
 	taskTime    = 6 * time.Second
-	// downTime is the time between the crash and the start under the same id.
-	downTime = time.Second
+	// downTime is the time between the crash and the start under the same id, and upTime that until the second crash.
+	downTime, upTime = time.Second, time.Second
 	// watched is for how long the tasks may take in all. It is four times what a lease of 6 s and the tasks take.
 	watched = 50 * time.Second
 )
@@ -60,10 +60,13 @@
 		worker.Crash()
 		if os.Getenv("ONCE") == "" {
 			time.Sleep(downTime)
-			worker.StartsAndCrashes()
-		} else {
-			worker.GoneForGood()
+			if err := worker.StartAgain(); err != nil {
+				return false, err
+			}
+			time.Sleep(upTime)
+			worker.Crash()
 		}
+		worker.GoneForGood()
 	}
 	completed := 0
 	for end := began.Add(watched); time.Now().Before(end) && completed < jobs; {
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -157,14 +157,7 @@
 	e.end("leaves")
 	e.removeEntry()
 	time.Sleep(downTime)
-	listener, err := net.Listen("tcp", e.Address)
-	if err != nil {
-		return err
-	}
-	e.serveOn(listener)
-	e.record.Add("executor %s: is back under its id", e.ID)
-	e.writeEntry(1)
-	return nil
+	return e.StartAgain()
 }
 
 func (e *Executor) isCrashed() bool {
@@ -191,15 +184,16 @@
 	e.cut.breakAll()
 }
 
-// StartsAndCrashes starts the executor again under its id. It writes its entry and crashes before it listens. The store
-// removes the entry after three intervals without another.
-func (e *Executor) StartsAndCrashes() {
-	e.record.Add("executor %s: starts again under its id, writes its entry, and crashes for good", e.ID)
-	e.mu.Lock()
-	e.born = time.Now()
-	e.mu.Unlock()
+// StartAgain begins another lifetime under the id of an executor that has left or crashed.
+func (e *Executor) StartAgain() error {
+	listener, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		return err
+	}
+	e.serveOn(listener)
+	e.record.Add("executor %s: is back under its id", e.ID)
 	e.writeEntry(1)
-	time.AfterFunc(3*heartbeat, e.removeEntry)
+	return nil
 }
 
 // removeEntry removes the entry, as the platform does after a silence of three intervals.
@@ -208,7 +202,7 @@
 	e.store.Put("keyed.servers", e.ID, nil)
 }
 
-// GoneForGood tells the store to remove the entry of a crashed executor.
+// GoneForGood has the entry of a crashed executor removed after three intervals of silence.
 func (e *Executor) GoneForGood() { time.AfterFunc(3*heartbeat, e.removeEntry) }
 
 func (e *Executor) clock() int64 { return time.Since(e.born).Milliseconds() + 1 }
