Log how many runs a restart of a machine leaves in doubt

machine_restarted called all runs of the machine lost. Those that no poll had listed are kept, so the log could not tell runs that are held from runs that are placed again.

--- a/sched/machine.go
+++ b/sched/machine.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/sassafraslb/sassafraslb/machine"
 )
 
@@ -170,8 +172,9 @@
 // are gone. A start order may have reached the new incarnation, so a run that no poll
 // has listed stays until a poll under the higher token shows whether it exists.
 func (e *Engine) machineRestarted(m *machineState, born int64, now time.Duration) {
+	listed := lo.CountBy(m.sortedRuns(), func(r *run) bool { return r.listed })
 	e.log.Warn().Str("event", "machine_restarted").Str("machine", m.spec.ID).Int64("born", born).
-		Int("runs_lost", len(m.runs)).Send()
+		Int("runs_lost", listed).Int("runs_in_doubt", len(m.runs)-listed).Send()
 	m.token++
 	m.spec.Born = born
 	m.polled, m.processedEnds, m.storedEnds = false, 0, 0
