Close runs in doubt of a machine that restarts and does not answer again

Cause: a run that no poll had listed before the restart was kept until the next answer of the machine. That wait had no bound: expireLeases looks only at machines that have answered under their token, by a clock that the restart has discarded.

Evidence: machine_restarted with runs_in_doubt 12, no run_closed after it.

Fix: a machine that has restarted gets no lease before its first answer, so a run whose start was answered ends within a lease of the restart, and one whose start was not answered within 12 s more. Then the run is closed. Further restarts do not extend the wait.

Test: TestRunsOfMachineThatVanishesAfterRestart failed in all three cases before the fix (no start in 30 s).

--- a/sched/lease.go
+++ b/sched/lease.go
@@ -75,9 +75,9 @@
 	return 0, 0
 }
 
-// expireLeases closes the runs of machines whose leases have expired, removes machines
-// that have left the host list, have no runs and have not answered for leaseHorizon, and
-// resolves the runs of former leaders.
+// expireLeases closes the runs of machines whose leases have expired, or that have
+// restarted and not answered since, removes machines that have left the host list, have
+// no runs and have not answered for leaseHorizon, and resolves the runs of former leaders.
 func (e *Engine) expireLeases(now time.Duration) {
 	for _, m := range slices.Clone(e.byID) {
 		id := m.spec.ID
@@ -89,6 +89,9 @@
 			}
 			m.health.reset(now)
 		}
+		if !m.polled {
+			e.closeRunsInDoubt(m, now)
+		}
 		gone := !m.inHostList && len(m.runs) == 0 && now-m.answeredAt > e.leaseHorizon()
 		if gone && !m.mayHaveFormerRuns {
 			e.removeMachine(m)
@@ -110,6 +113,27 @@
 	}
 }
 
+// maxOrderDelay bounds the time after which a machine carries out an order that it has
+// received and not answered.
+const maxOrderDelay = 12 * time.Second
+
+// closeRunsInDoubt closes the runs of a machine that has restarted and not answered since,
+// once the new incarnation cannot run them any more. It had no lease when it started, polls
+// grant none before its first answer, and start orders are not sent. So a run whose start
+// was answered ends within leaseHorizon; another one may start maxOrderDelay later. The end
+// of the lease in a start order is no bound, since the clock of the machine starts anew.
+func (e *Engine) closeRunsInDoubt(m *machineState, now time.Duration) {
+	for _, r := range m.sortedRuns() {
+		latestStart := max(r.inDoubtSince, r.confirmedAt)
+		if r.confirmedAt == 0 {
+			latestStart += maxOrderDelay
+		}
+		if now-latestStart > e.leaseHorizon() {
+			e.closeRun(r, now, "not_seen_after_restart")
+		}
+	}
+}
+
 // leaseHorizon returns the time after which a lease that was granted before has ended on
 // any clock that is slow by at most maxClockDrift.
 func (e *Engine) leaseHorizon() time.Duration {
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -67,6 +67,7 @@
 	stopAnsweredAt time.Duration // 0 if no stop was answered
 	stopReason     string        // empty if it is not being stopped
 	listed         bool          // a poll has listed it, so it belongs to the incarnation that answered
+	inDoubtSince   time.Duration // when its machine restarted before a poll had listed it, 0 if it did not
 	percent        int           // progress
 	percentAt      time.Duration // when percent was last reported, or the run was confirmed
 	progressedAt   time.Duration // when percent last rose, or the run was confirmed
@@ -170,7 +171,8 @@
 
 // machineRestarted handles a new incarnation under the same id: all runs of the former one
 // are gone. A start order may have reached the new incarnation, so a run that no poll
-// has listed stays until a poll under the higher token shows whether it exists.
+// has listed is in doubt until a poll under the higher token shows whether it exists, or
+// until it cannot exist any more (see closeRunsInDoubt).
 func (e *Engine) machineRestarted(m *machineState, born int64, now time.Duration) {
 	listed := lo.CountBy(m.sortedRuns(), func(r *run) bool { return r.listed })
 	e.log.Warn().Str("event", "machine_restarted").Str("machine", m.spec.ID).Int64("born", born).
@@ -182,6 +184,8 @@
 	for _, r := range m.sortedRuns() {
 		if r.listed {
 			e.closeRun(r, now, "machine_restarted")
+		} else if r.inDoubtSince == 0 {
+			r.inDoubtSince = now
 		}
 	}
 	m.health.reset(now)
--- /dev/null
+++ b/sched/restart_test.go
@@ -0,0 +1,112 @@
+package sched
+
+import (
+	"testing"
+	"time"
+)
+
+// restart reports a new entry of a machine that has started again under its id.
+func (f *engineFixture) restart(id string, born int64) {
+	view, known := f.engine.Machine(id)
+	if !known {
+		f.t.Fatalf("machine %s is not known", id)
+	}
+	spec := view.Machine
+	spec.Born = born
+	f.engine.updateMachine(spec, f.now)
+}
+
+// placedAgain makes passes every 50 ms for a time, and returns when the first task was started on another
+// machine than the given one, and false if none was.
+func (f *engineFixture) placedAgain(id string, within time.Duration) (time.Duration, bool) {
+	for end := f.now + within; f.now < end; f.now += 50 * time.Millisecond {
+		for _, o := range f.engine.Plan(f.now).Starts {
+			if o.Machine.ID != id {
+				return f.now, true
+			}
+		}
+		for _, v := range f.engine.Machines() {
+			if v.Machine.ID != id {
+				f.poll(v.Machine.ID, nil, nil)
+			}
+		}
+		f.flush()
+	}
+	return 0, false
+}
+
+// TestRunsOfMachineThatVanishesAfterRestart guards against tasks that are never started again because
+// their machine has restarted under its id before any poll listed their runs, and has answered nothing
+// since: the runs were kept until its next answer, however long that took.
+func TestRunsOfMachineThatVanishesAfterRestart(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		outcome  StartOutcome
+		restarts int
+		// from and to bound the time from the first restart to the next start.
+		from, to time.Duration
+	}{
+		{"one restart", Started, 1, 6 * time.Second, 7 * time.Second},
+		{"restarts every second", Started, 10, 6 * time.Second, 7 * time.Second},
+		{"start not answered", Unanswered, 1, 18 * time.Second, 19 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newEngineFixture(t, plainQueues, worker("a"))
+			f.submit(smallStep(1))
+			f.now += 10 * time.Millisecond
+			starts := f.engine.Plan(f.now).Starts
+			if len(starts) != 1 {
+				t.Fatalf("%d starts, want 1", len(starts))
+			}
+			f.engine.StartAnswered(starts[0], c.outcome, f.now)
+			f.engine.SetMachines([]Machine{worker("a"), worker("b")}, f.now)
+			f.flush()
+			f.now += time.Second
+			restartedAt := f.now
+			for i := range c.restarts {
+				f.restart("a", int64(2+i))
+				if at, ok := f.placedAgain("a", time.Second); ok {
+					if after := at - restartedAt; after < c.from || after > c.to {
+						t.Errorf("the task is started again %v after the restart, want %v to %v", after, c.from, c.to)
+					}
+					return
+				}
+			}
+			at, ok := f.placedAgain("a", 30*time.Second)
+			if after := at - restartedAt; !ok || after < c.from || after > c.to {
+				t.Errorf("the task is started again: %v, %v after the restart, want %v to %v", ok, after, c.from, c.to)
+			}
+		})
+	}
+}
+
+// TestRunThatRestartedMachineListsGoesOn guards against a task that is started twice because its run, whose
+// order has reached the new incarnation of its machine, was given up before that one could answer.
+func TestRunThatRestartedMachineListsGoesOn(t *testing.T) {
+	f := newEngineFixture(t, plainQueues, worker("a"))
+	f.submit(smallStep(1))
+	placed := f.planAndConfirm()
+	f.engine.SetMachines([]Machine{worker("a"), worker("b")}, f.now)
+	f.restart("a", 2)
+	if _, ok := f.placedAgain("a", 5*time.Second); ok {
+		t.Fatal("the task was started again while the lease of the new incarnation could last")
+	}
+	for task := range placed {
+		view, _ := f.engine.Machine("a")
+		f.engine.PollAnswered("a", view.Token, PollResult{Born: 2, Clock: 5000, Sent: f.now,
+			Running: []RunReport{{Task: task, Run: 1, Percent: 50}}}, f.now)
+	}
+	f.flush()
+	for range 20 { // it answers on, beyond the lease that it had at the restart
+		f.now += time.Second
+		view, _ := f.engine.Machine("a")
+		f.engine.GrantLease("a", f.now)
+		for task := range placed {
+			f.engine.PollAnswered("a", view.Token, PollResult{Born: 2, Clock: f.now.Milliseconds(), Sent: f.now,
+				Running: []RunReport{{Task: task, Run: 1, Percent: 60}}}, f.now)
+		}
+		for _, o := range f.engine.Plan(f.now).Starts {
+			t.Fatalf("started %s on %s while its run goes on", o.Task, o.Machine.ID)
+		}
+	}
+}
