Poll a machine at once after an answer that shows its restart

What callers saw: tasks of a machine that restarted under its id were started again up to 2 s later than needed.

Cause: the answer that shows a restart came under the former token, so its lists are not read. The next poll, the first under the new token, allowed the machine to wait 2 s for an end.

Fix: NeedsPoll reports such a machine, so its next poll does not wait.

Test: TestRestartedMachineIsAskedAtOnce failed before (wait 2s, want 0).

--- a/cell/poll_test.go
+++ b/cell/poll_test.go
@@ -169,3 +169,40 @@
 		t.Error("a new leader is cut off before it had time to reach its machines")
 	}
 }
+
+// restartedMachines is a MachineClient whose first answer comes from a new incarnation. It records the
+// wait of the second poll.
+type restartedMachines struct {
+	lossyMachines
+	secondWait chan time.Duration
+}
+
+func (m *restartedMachines) Poll(ctx context.Context, _ sched.Machine, _, _, _ int64, wait time.Duration) (sched.PollResult, error) {
+	switch m.polls.Add(1) {
+	case 1:
+	case 2:
+		m.secondWait <- wait
+	default:
+		<-ctx.Done()
+		return sched.PollResult{}, ctx.Err()
+	}
+	return sched.PollResult{Born: 2, Clock: 1}, nil
+}
+
+// TestRestartedMachineIsAskedAtOnce guards against tasks that wait for seconds after a restart of their
+// machine: the answer that shows the restart says nothing about runs, and the next poll was one that the
+// machine may answer only when a run ends.
+func TestRestartedMachineIsAskedAtOnce(t *testing.T) {
+	machines := &restartedMachines{secondWait: make(chan time.Duration, 1)}
+	l, ctx := newPollingLeadership(t, machines)
+	l.engine.SetMachines([]sched.Machine{{ID: "m", Born: 1, Service: "s"}}, HostClock())
+	go l.pollMachine(ctx, "m")
+	select {
+	case wait := <-machines.secondWait:
+		if wait != 0 {
+			t.Errorf("the poll after a restart may wait %v for an end, want 0", wait)
+		}
+	case <-time.After(time.Second):
+		t.Error("no poll within 1 s of the answer that shows the restart")
+	}
+}
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -24,6 +24,7 @@
 	inHostList        bool          // false also once another incarnation has replaced it
 	polled            bool          // it has answered a poll under token
 	answeredAt        time.Duration // last answer to a poll; before the first, when the machine was added
+	onlyShowedRestart bool          // the last answer to a poll did, its lists were not read
 	unresponsive      bool          // the last poll was not answered, perhaps under a former leader
 	replaced          bool          // another incarnation answers at its address
 	processedEnds     int64         // highest number of an end that was taken into account
--- a/sched/poll.go
+++ b/sched/poll.go
@@ -25,7 +25,8 @@
 	if m == nil || token != m.token {
 		return
 	}
-	if m.spec.Born != 0 && result.Born > m.spec.Born {
+	m.onlyShowedRestart = m.spec.Born != 0 && result.Born > m.spec.Born
+	if m.onlyShowedRestart {
 		e.machineRestarted(m, result.Born, now)
 		return
 	}
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -125,12 +125,16 @@
 }
 
 // NeedsPoll reports whether the machine should be polled without delay: it has answered
-// a stop of a run that was not confirmed, and only its lists show whether the run exists.
+// a stop of a run that was not confirmed, and only its lists show whether the run exists;
+// or its last answer showed a restart, and its lists were not read.
 func (e *Engine) NeedsPoll(id string) bool {
 	m := e.machines[id]
 	if m == nil {
 		return false
 	}
+	if m.onlyShowedRestart {
+		return true
+	}
 	for _, r := range m.runs {
 		if r.state == runStopping && r.stopAnsweredAt != 0 && r.confirmedAt == 0 {
 			return true
