Wait for all pages of ends before a run counts as lost

Cause: a machine lists at most 500 ends in one answer, and the engine took each answer for complete. A new leader did too: one page of ends counted as knowing all former runs, and after one lease it went on with pages unread.

Evidence: ends 1 to 500 in the first answer, then 100 run_closed with reason vanished, then the ends 501 to 600 as not known. Ruled out: an expired lease (no machine_lapsed), a lost answer (no gap in the numbers).

Fix: PollResult.MoreEnds says that there may be a further page. Until the last one, no run is closed because it is not listed, and a new leader does not count the former runs of the machine as known, unless the lease of the machine has expired or it has restarted.

--- a/sched/fake_machine_test.go
+++ b/sched/fake_machine_test.go
@@ -19,11 +19,12 @@
 	token        int64   // highest fencing token of a call
 	leaseEnd     int64   // ms on its clock, 0 if it has no lease
 	runs         map[runKey]*fakeRun
-	highestRun   map[string]int64 // task to the highest run that was stopped or ended
-	ended        []EndReport      // ends that are not acknowledged
-	endCount     int64            // number of the last end
-	acknowledged int64            // highest acknowledged end
-	cutOffUntil  time.Duration    // calls do not reach it before
+	highestRun   map[string]int64         // task to the highest run that was stopped or ended
+	ended        []EndReport              // ends that are not acknowledged
+	endCount     int64                    // number of the last end
+	acknowledged int64                    // highest acknowledged end
+	doneAt       map[runKey]time.Duration // when runs ended as done, since its lease last expired
+	cutOffUntil  time.Duration            // calls do not reach it before
 }
 
 // fakeRun is a run on a fakeMachine.
@@ -37,6 +38,10 @@
 	gangComplete bool // for members of gangs: all members have started
 }
 
+// endsPerAnswer is how many ends one answer to a poll lists. It is small, so that several ends of a machine
+// need several answers.
+const endsPerAnswer = 2
+
 // clock returns the machine's steady clock in ms.
 func (m *fakeMachine) clock() int64 {
 	return int64(float64((m.sim.now-m.bootedAt).Milliseconds())*m.clockRate) + 1000
@@ -87,6 +92,7 @@
 	sim.checkStart(m, o, r)
 	m.runs[key] = r
 	sim.startCount++
+	sim.lastStart[o.Task] = sim.now
 	incarnation := m.incarnation
 	if s.Gang {
 		sim.memberStarted(o, s, j)
@@ -121,6 +127,7 @@
 	m.ended = append(m.ended, EndReport{Number: m.endCount, Task: r.key.task, Run: r.key.run, Kind: kind})
 	if kind == EndDone {
 		m.sim.doneEnds[r.key.task]++
+		m.doneAt[r.key] = m.sim.now
 	}
 	s, _ := m.sim.stepOf(r.key.task)
 	if s.Gang && kind != EndDone {
@@ -161,9 +168,10 @@
 		e := m.ended[0]
 		m.ended = m.ended[1:]
 		m.acknowledged = e.Number
-		m.sim.endAcknowledged(e)
+		m.sim.endAcknowledged(m, e)
 	}
-	result := PollResult{Born: m.spec.Born, Clock: m.clock(), Ended: slices.Clone(m.ended)}
+	n := min(len(m.ended), endsPerAnswer)
+	result := PollResult{Born: m.spec.Born, Clock: m.clock(), Ended: slices.Clone(m.ended[:n]), MoreEnds: n == endsPerAnswer}
 	for _, r := range m.runs {
 		percent := int(100 * (m.sim.now - r.startedAt) / max(r.runTime, 1))
 		result.Running = append(result.Running, RunReport{Task: r.key.task, Run: r.key.run, Percent: min(percent, 99)})
@@ -175,6 +183,7 @@
 // expireLease ends all runs if the lease has expired.
 func (m *fakeMachine) expireLease() {
 	if m.leaseEnd > 0 && m.clock() > m.leaseEnd {
+		clear(m.doneAt)
 		for _, r := range m.sortedRuns() {
 			m.endRun(r, EndLeaseExpired)
 		}
@@ -185,7 +194,7 @@
 // downtime.
 func (m *fakeMachine) crash(downtime time.Duration) {
 	m.incarnation++
-	m.runs, m.highestRun, m.ended = map[runKey]*fakeRun{}, map[string]int64{}, nil
+	m.runs, m.highestRun, m.ended, m.doneAt = map[runKey]*fakeRun{}, map[string]int64{}, nil, map[runKey]time.Duration{}
 	m.cutOffUntil = m.sim.now + downtime
 	m.sim.schedule(downtime, func() {
 		m.token, m.leaseEnd, m.endCount, m.acknowledged = 0, 0, 0, 0
--- a/sched/lease.go
+++ b/sched/lease.go
@@ -101,6 +101,9 @@
 	}
 	if now-e.termStart > e.leaseHorizon() {
 		for _, m := range e.byID {
+			if m.moreEnds && !m.clock.expired(now) {
+				continue // this leader extends its lease, and reads its ends
+			}
 			if m.mayHaveFormerRuns && m.unresponsive && !m.tasksRecorded {
 				m.tasksRecorded = true // nothing of former leaders runs on it any more
 				e.recordMachine(m)
@@ -141,14 +144,12 @@
 }
 
 // resolveRuns sets runsResolved unless there can still be unknown runs of former leaders:
-// on a machine that has not answered with readable lists, whose possible tasks no record
-// names, and whose lease may not have expired.
+// on a machine that has not answered with readable lists and all its ends, whose possible
+// tasks no record names, and whose lease may not have expired.
 func (e *Engine) resolveRuns(now time.Duration) {
-	if now-e.termStart <= e.leaseHorizon() {
-		for _, m := range e.byID {
-			if m.mayHaveFormerRuns && !m.tasksRecorded {
-				return
-			}
+	for _, m := range e.byID {
+		if m.mayHaveFormerRuns && !m.tasksRecorded {
+			return
 		}
 	}
 	e.runsResolved = true
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -25,6 +25,7 @@
 	polled            bool          // it has answered a poll under token
 	answeredAt        time.Duration // last answer to a poll; before the first, when the machine was added
 	onlyShowedRestart bool          // the last answer to a poll did, its lists were not read
+	moreEnds          bool          // its last answer may not have listed all ends
 	unresponsive      bool          // the last poll was not answered, perhaps under a former leader
 	replaced          bool          // another incarnation answers at its address
 	processedEnds     int64         // highest number of an end that was taken into account
@@ -180,7 +181,7 @@
 		Int("runs_lost", listed).Int("runs_in_doubt", len(m.runs)-listed).Send()
 	m.token++
 	m.spec.Born = born
-	m.polled, m.processedEnds, m.storedEnds = false, 0, 0
+	m.polled, m.moreEnds, m.processedEnds, m.storedEnds = false, false, 0, 0
 	m.clock = leaseClock{maxLease: e.cfg.Lease}
 	for _, r := range m.sortedRuns() {
 		if r.listed {
--- a/sched/poll.go
+++ b/sched/poll.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // PollResult is the answer of a machine to a poll: the lists of its runs and ends.
@@ -11,7 +13,10 @@
 	Clock   int64         // the machine's steady clock in ms
 	Sent    time.Duration // when the poll was sent
 	Running []RunReport
-	Ended   []EndReport // ends that are not acknowledged yet
+	Ended   []EndReport // ends that are not acknowledged yet, the lowest numbers first
+	// MoreEnds means that the machine may have further ends, which it lists once those in Ended are
+	// acknowledged. A run that is in neither list may have ended then.
+	MoreEnds bool
 	// Unreadable is the number of rows of both lists that could not be read. If it is not 0,
 	// runs that are not listed may exist nevertheless.
 	Unreadable int
@@ -46,7 +51,8 @@
 		m.tasksRecorded = false
 		e.recordMachine(m) // it takes new work once the record no longer names its runs
 	}
-	if result.Unreadable == 0 {
+	m.moreEnds = result.MoreEnds
+	if result.Unreadable == 0 && !result.MoreEnds {
 		m.mayHaveFormerRuns = false
 	}
 	m.answeredAt = now
@@ -67,10 +73,13 @@
 		e.log.Warn().Str("event", "rows_unreadable").Str("machine", id).Int("rows", result.Unreadable).Send()
 		return
 	}
-	for _, r := range m.sortedRuns() {
-		if listed[runKey{r.task.name, r.number}] {
-			continue
-		}
+	unlisted := lo.Filter(m.sortedRuns(), func(r *run, _ int) bool { return !listed[runKey{r.task.name, r.number}] })
+	if result.MoreEnds {
+		e.log.Info().Str("event", "more_ends_expected").Str("machine", id).Int("ended", len(result.Ended)).
+			Int64("up_to", m.processedEnds).Int("runs_unlisted", len(unlisted)).Send()
+		return // the unlisted runs may be among the further ends
+	}
+	for _, r := range unlisted {
 		switch {
 		case r.token < m.token:
 			e.closeRun(r, now, "superseded")
--- a/sched/simulation_checks_test.go
+++ b/sched/simulation_checks_test.go
@@ -52,11 +52,16 @@
 	}
 }
 
-// endAcknowledged records an end that the leader has acknowledged.
-func (sim *simulation) endAcknowledged(e EndReport) {
+// endAcknowledged records an end that the leader has acknowledged. It reports a start after that end, unless
+// the lease of the machine has expired between the end and the acknowledgement.
+func (sim *simulation) endAcknowledged(m *fakeMachine, e EndReport) {
 	switch e.Kind {
 	case EndDone:
 		sim.acknowledgedDone[e.Task] = true
+		if at, ok := m.doneAt[runKey{e.Task, e.Run}]; ok && sim.lastStart[e.Task] > at {
+			sim.reportViolation("started again %v after its end: %s, which had ended as run %d on %s",
+				sim.lastStart[e.Task]-at, e.Task, e.Run, m.spec.ID)
+		}
 	case EndFailed:
 		if sim.failedRuns[e.Task] == nil {
 			sim.failedRuns[e.Task] = map[int64]bool{}
--- a/sched/simulation_test.go
+++ b/sched/simulation_test.go
@@ -34,6 +34,7 @@
 	failedRuns       map[string]map[int64]bool // tasks to the numbers of runs whose failure was acknowledged
 	violations       []string
 	startCount       int
+	lastStart        map[string]time.Duration // tasks to the time of their last start
 	logOutput        strings.Builder
 }
 
@@ -174,15 +175,15 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), faults: f, machines: map[string]*fakeMachine{},
 		log: map[string][]byte{}, jobSpecs: map[string]Job{}, accepted: map[string]bool{},
 		cancelledAt: map[string]time.Duration{}, acknowledgedDone: map[string]bool{}, doneEnds: map[string]int{},
-		failedRuns: map[string]map[int64]bool{},
-		queues:     []Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 3, Target: time.Second}},
+		failedRuns: map[string]map[int64]bool{}, lastStart: map[string]time.Duration{},
+		queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 3, Target: time.Second}},
 	}
 	for i := range 8 {
 		id := fmt.Sprintf("m%d", i)
 		sim.machineIDs = append(sim.machineIDs, id)
 		sim.machines[id] = &fakeMachine{
 			sim: sim, clockRate: 0.98 + 0.02*sim.rng.Float64(), runs: map[runKey]*fakeRun{},
-			highestRun: map[string]int64{},
+			highestRun: map[string]int64{}, doneAt: map[runKey]time.Duration{},
 			spec: Machine{ID: id, Born: 1_700_000_000_000, Service: "s", Rack: fmt.Sprintf("r%d", i/4),
 				Capacity: machine.Resources{CPUMilli: 8000, MemoryMiB: 16000}},
 		}
