Drop what is known of an incarnation of a machine when it restarts

Cause: leavesAt, the time at which the drained incarnation was to leave, was never cleared. watchRuns empties a machine by that time alone.

Evidence: 1,847 run_stopping with reason machine_leaves after machine_draining with draining false. Ruled out: a stale entry, slow or stuck runs.

Fix: the fields that belong to one incarnation are one struct, which a restart replaces, and leavesAt is cleared when the entry no longer drains. This also mends replaced, which kept a machine out of use that had registered again, and a second drain that was taken for the first.

Tests, all failing before: TestMachineBackAfterDrainKeepsItsRuns in its four cases, TestSecondDrainEmptiesTheMachineInTime, TestReplacedMachineThatIsBackIsUsed.

--- a/sched/journal.go
+++ b/sched/journal.go
@@ -303,11 +303,8 @@
 	if err := cbor.Unmarshal(data, &rec); err != nil {
 		return rec, errors.Wrap(err, "decode machine")
 	}
-	m := &machineState{
-		spec: rec.Machine, token: e.cfg.Token, runs: make(map[runKey]*run), runsPerStep: make(map[*step]int),
-		answeredAt: now, mayHaveFormerRuns: true, tasksRecorded: rec.Unresponsive, unresponsive: rec.Unresponsive,
-	}
-	m.clock.maxLease = e.cfg.Lease
+	m := e.newMachine(rec.Machine, now)
+	m.mayHaveFormerRuns, m.tasksRecorded, m.unresponsive = true, rec.Unresponsive, rec.Unresponsive
 	e.insertMachine(m)
 	return rec, nil
 }
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -12,34 +12,53 @@
 
 // machineState is the engine's view of a machine.
 type machineState struct {
+	incarnation
 	spec              Machine
 	token             int64             // fencing token for calls to it; rises when it restarts
 	used              machine.Resources // held by runs and by placements of gangs
 	runs              map[runKey]*run
 	runsPerStep       map[*step]int
-	clock             leaseClock
 	health            health
 	relativeRunTime   float64       // learned run time relative to other machines, 0 if not known
 	slowdown          float64       // run time of its current runs relative to the expected one, 0 if not known
 	inHostList        bool          // false also once another incarnation has replaced it
-	polled            bool          // it has answered a poll under token
 	answeredAt        time.Duration // last answer to a poll; before the first, when the machine was added
 	onlyShowedRestart bool          // the last answer to a poll did, its lists were not read
-	moreEnds          bool          // its last answer may not have listed all ends
 	unresponsive      bool          // the last poll was not answered, perhaps under a former leader
-	replaced          bool          // another incarnation answers at its address
-	processedEnds     int64         // highest number of an end that was taken into account
-	storedEnds        int64         // highest number of an end whose effect is stored
 	unstoredRecords   int           // records of the machine that are not stored yet
-	leavesAt          time.Duration // earliest time at which a draining machine leaves, 0 if not known
 	servingRuns       int           // runs with a latency target
 	fillerRuns        int           // runs of tasks that use processors left idle by others
-	unsizedRuns       int           // runs of unknown size at the last poll; while there are any it takes no work
 	mayHaveFormerRuns bool          // it may have unknown runs of former leaders
 	usableInPass      int64         // the last pass in which it could take work
 	tasksRecorded     bool          // its record names all tasks that may run on it
 }
 
+// incarnation is what the engine knows of one lifetime of a machine. It is dropped as a
+// whole when the machine restarts under its id.
+type incarnation struct {
+	clock         leaseClock
+	polled        bool          // it has answered a poll under the machine's token
+	moreEnds      bool          // its last answer may not have listed all ends
+	replaced      bool          // another machine answers at its address
+	processedEnds int64         // highest number of an end that was taken into account
+	storedEnds    int64         // highest number of an end whose effect is stored
+	leavesAt      time.Duration // earliest time at which it leaves, 0 if it does not drain or this is not known
+	unsizedRuns   int           // runs of unknown size at the last poll; while there are any it takes no work
+}
+
+// newIncarnation returns an incarnation that has not answered yet.
+func (e *Engine) newIncarnation() incarnation {
+	return incarnation{clock: leaseClock{maxLease: e.cfg.Lease}}
+}
+
+// newMachine returns a machine without runs.
+func (e *Engine) newMachine(spec Machine, now time.Duration) *machineState {
+	return &machineState{
+		incarnation: e.newIncarnation(), spec: spec, token: e.cfg.Token, runs: make(map[runKey]*run),
+		runsPerStep: make(map[*step]int), answeredAt: now,
+	}
+}
+
 // runKey identifies a run by its task and its number.
 type runKey struct {
 	task string
@@ -151,7 +170,10 @@
 	if spec.Born < m.spec.Born {
 		return // an entry of a former incarnation, or one that does not say when it started
 	}
-	if spec.Draining && spec.Remaining > 0 && (m.leavesAt == 0 || spec.Remaining != m.spec.Remaining) {
+	switch {
+	case !spec.Draining:
+		m.leavesAt = 0
+	case spec.Remaining > 0 && (m.leavesAt == 0 || spec.Remaining != m.spec.Remaining):
 		m.leavesAt = now + spec.Remaining
 	}
 	if spec.Draining != m.spec.Draining {
@@ -162,10 +184,7 @@
 
 // addMachine adds a machine that was not known before.
 func (e *Engine) addMachine(spec Machine, now time.Duration) *machineState {
-	m := &machineState{
-		spec: spec, token: e.cfg.Token, runs: make(map[runKey]*run), runsPerStep: make(map[*step]int), answeredAt: now,
-	}
-	m.clock.maxLease = e.cfg.Lease
+	m := e.newMachine(spec, now)
 	e.insertMachine(m)
 	e.recordMachine(m)
 	return m
@@ -181,8 +200,7 @@
 		Int("runs_lost", listed).Int("runs_in_doubt", len(m.runs)-listed).Send()
 	m.token++
 	m.spec.Born = born
-	m.polled, m.moreEnds, m.processedEnds, m.storedEnds = false, false, 0, 0
-	m.clock = leaseClock{maxLease: e.cfg.Lease}
+	m.incarnation = e.newIncarnation()
 	for _, r := range m.sortedRuns() {
 		if r.listed {
 			e.closeRun(r, now, "machine_restarted")
--- a/sched/restart_test.go
+++ b/sched/restart_test.go
@@ -110,3 +110,110 @@
 		}
 	}
 }
+
+// list reports the host list with the given entries and stores what changes.
+func (f *engineFixture) list(machines ...Machine) {
+	f.engine.SetMachines(machines, f.now)
+	f.flush()
+}
+
+// workFor lets time pass in steps of 100 ms, in which a machine lists its runs and the engine plans, and
+// returns the stops that are ordered. percent is the progress of the runs after the time since from.
+func (f *engineFixture) workFor(id string, born int64, tasks map[string]string, duration time.Duration) []Stop {
+	var stops []Stop
+	for end := f.now + duration; f.now < end; f.now += 100 * time.Millisecond {
+		view, _ := f.engine.Machine(id)
+		f.engine.GrantLease(id, f.now)
+		result := PollResult{Born: born, Clock: f.now.Milliseconds(), Sent: f.now}
+		for task := range tasks {
+			result.Running = append(result.Running, RunReport{Task: task, Run: 1, Percent: 100})
+		}
+		f.engine.PollAnswered(id, view.Token, result, f.now)
+		stops = append(stops, f.engine.Plan(f.now).Stops...)
+	}
+	return stops
+}
+
+// TestMachineBackAfterDrainKeepsItsRuns guards against stops of every run on a machine that has drained and is
+// ready again, as long as the leader leads: the time at which the drained incarnation was to leave had
+// passed, and was kept.
+func TestMachineBackAfterDrainKeepsItsRuns(t *testing.T) {
+	draining := worker("a")
+	draining.Draining, draining.Remaining = true, 2500*time.Millisecond
+	back := worker("a")
+	back.Born = 2
+	for name, comeBack := range map[string]func(f *engineFixture) int64{
+		"new entry": func(f *engineFixture) int64 { f.list(back); return 2 },
+		"poll, then new entry": func(f *engineFixture) int64 {
+			view, _ := f.engine.Machine("a")
+			f.engine.PollAnswered("a", view.Token, PollResult{Born: 2, Clock: 1, Sent: f.now}, f.now)
+			f.list(back)
+			return 2
+		},
+		"not listed meanwhile": func(f *engineFixture) int64 { f.list(); f.list(back); return 2 },
+		"without a restart":    func(f *engineFixture) int64 { f.list(worker("a")); return 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newEngineFixture(t, plainQueues, worker("a"))
+			f.list(draining)
+			f.now += 4 * time.Second
+			born := comeBack(f)
+			f.workFor("a", born, nil, 200*time.Millisecond)
+			step := smallStep(2)
+			step.Persistent = true
+			f.submit(step)
+			placed := f.planAndConfirm()
+			if len(placed) != 2 {
+				t.Fatalf("started %v, want two tasks", placed)
+			}
+			if stops := f.workFor("a", born, placed, 5*time.Second); len(stops) > 0 {
+				t.Errorf("%d stops on a machine that does not drain, the first %+v", len(stops), stops[0])
+			}
+		})
+	}
+}
+
+// TestSecondDrainEmptiesTheMachineInTime guards against runs that are lost when a machine drains again after a
+// restart with the same time left as at its first drain: that time was taken for known.
+func TestSecondDrainEmptiesTheMachineInTime(t *testing.T) {
+	entry := func(born int64, draining bool) Machine {
+		m := worker("a")
+		m.Born, m.Draining = born, draining
+		if draining {
+			m.Remaining = 2500 * time.Millisecond
+		}
+		return m
+	}
+	f := newEngineFixture(t, plainQueues, worker("a"))
+	f.list(entry(1, true))
+	f.now += 4 * time.Second
+	f.list(entry(2, false))
+	f.workFor("a", 2, nil, 200*time.Millisecond)
+	step := smallStep(1)
+	step.SavesProgress = true
+	f.submit(step)
+	placed := f.planAndConfirm()
+	f.workFor("a", 2, placed, time.Second)
+	f.list(entry(2, true))
+	if stops := f.workFor("a", 2, placed, 500*time.Millisecond); len(stops) > 0 {
+		t.Errorf("the run was stopped with over 2 s left: %+v", stops)
+	}
+	if stops := f.workFor("a", 2, placed, 1800*time.Millisecond); len(stops) == 0 {
+		t.Error("the run was not stopped before the machine leaves")
+	}
+}
+
+// TestReplacedMachineThatIsBackIsUsed guards against a machine that takes no work for good because another one
+// had its address once, although it has registered again since.
+func TestReplacedMachineThatIsBackIsUsed(t *testing.T) {
+	f := newEngineFixture(t, plainQueues, worker("a"))
+	f.engine.MachineReplaced("a", f.now)
+	back := worker("a")
+	back.Born = 2
+	f.list(back)
+	f.workFor("a", 2, nil, 200*time.Millisecond)
+	f.submit(smallStep(1))
+	if placed := f.planAndConfirm(); len(placed) != 1 {
+		t.Errorf("started %v on the machine that is back, want one task", placed)
+	}
+}
