Use a restarted machine only by the entry of its new incarnation

What callers could see: a task on a machine of another kind than it requires, or more tasks than fit.

Cause: a restart that a poll shows left the machine in the host list with the entry of the former incarnation; a new lifetime may be of another kind.

Fix: such a machine counts as not listed until its own entry is read.

Test: TestRestartedMachineIsUsedByItsNewEntry failed before (one start before the new entry, on a machine of another kind).

--- a/sched/machine.go
+++ b/sched/machine.go
@@ -21,7 +21,7 @@
 	health            health
 	relativeRunTime   float64       // learned run time relative to other machines, 0 if not known
 	slowdown          float64       // run time of its current runs relative to the expected one, 0 if not known
-	inHostList        bool          // false also once another incarnation has replaced it
+	inHostList        bool          // false also once another machine has replaced it, or if only the entry of a former incarnation is known
 	answeredAt        time.Duration // last answer to a poll; before the first, when the machine was added
 	onlyShowedRestart bool          // the last answer to a poll did, its lists were not read
 	unresponsive      bool          // the last poll was not answered, perhaps under a former leader
--- a/sched/poll.go
+++ b/sched/poll.go
@@ -24,7 +24,8 @@
 
 // PollAnswered takes the answer to a poll under token into account. It is ignored if the
 // machine is not known, token is no longer its token, or a former incarnation answered.
-// The answer of a new incarnation only reports the restart, its lists are not read.
+// The answer of a new incarnation only reports the restart: its lists are not read, and
+// it takes no work before its entry in the host list is known.
 func (e *Engine) PollAnswered(id string, token int64, result PollResult, now time.Duration) {
 	m := e.machines[id]
 	if m == nil || token != m.token {
@@ -33,6 +34,7 @@
 	m.onlyShowedRestart = m.spec.Born != 0 && result.Born > m.spec.Born
 	if m.onlyShowedRestart {
 		e.machineRestarted(m, result.Born, now)
+		m.inHostList = false // its kind and capacity may have changed
 		return
 	}
 	if result.Born != 0 && result.Born < m.spec.Born {
--- a/sched/restart_test.go
+++ b/sched/restart_test.go
@@ -217,3 +217,32 @@
 		t.Errorf("started %v on the machine that is back, want one task", placed)
 	}
 }
+
+// TestRestartedMachineIsUsedByItsNewEntry guards against a task that starts on a machine of another kind than it
+// requires: a restarted machine may be of another kind, and may answer polls before its new entry is read.
+func TestRestartedMachineIsUsedByItsNewEntry(t *testing.T) {
+	f := newEngineFixture(t, plainQueues, worker("a", "x"))
+	step := smallStep(1)
+	step.Label = "x"
+	f.submit(step)
+	startsAfter := func(what string, born int64, want int64) {
+		t.Helper()
+		f.workFor("a", born, nil, 200*time.Millisecond)
+		if n := f.engine.Stats().Starts; n != want {
+			t.Errorf("%s: %d starts, want %d", what, n, want)
+		}
+	}
+	view, _ := f.engine.Machine("a")
+	f.engine.PollAnswered("a", view.Token, PollResult{Born: 2, Clock: 1, Sent: f.now}, f.now)
+	startsAfter("restart seen in a poll", 2, 0)
+	f.list(worker("a", "x"))
+	startsAfter("entry of the former incarnation", 2, 0)
+	entry := worker("a", "y")
+	entry.Born = 2
+	f.list(entry)
+	startsAfter("entry of another kind", 2, 0)
+	entry = worker("a", "x")
+	entry.Born = 3
+	f.list(entry)
+	startsAfter("entry of the required kind", 3, 1)
+}
