--- a/sched/engine.go
+++ b/sched/engine.go
@@ -119,6 +119,8 @@
 	if version < e.configVersion {
 		return
 	}
+	e.log.Info().Str("event", "queues_in_force").Int64("version", version).Int64("replaced", e.configVersion).
+		Int("queues", len(queues)).Send()
 	e.configVersion = version
 	for _, q := range queues {
 		e.queues[q.Name] = &q
