Hand the engine a configuration that arrives during a takeover

Cause: runLeadership gives the configuration to the engine, restores the job state and then publishes the leadership. applyConfig hands a configuration only to a published leadership, so one that arrives in between reached the daemon and not its engine.

Evidence: config_applied of version 2 between queues_in_force of version 1 and leading, none of version 2 later. Ruled out: a configuration that was not read; an older version that replaced it.

Fix: the configuration is loaded again after the leadership is published, and handed over if it has changed.

--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -101,6 +101,10 @@
 	l.engine.Restore(records, d.clock(), time.Now())
 	close(l.restored)
 	d.leadership.Store(l)
+	// From here on applyConfig hands new configurations to l. One that arrived since config was loaded was not.
+	if newest := d.config.Load(); newest != config {
+		l.setConfig(newest)
+	}
 	d.settings.Metrics.Leading.Set(1)
 	defer d.relaxGC()()
 	logger.Info().Str("event", "leading").Int("records", len(records)).Int64("after_ms", (d.clock() - began).Milliseconds()).Send()
