Take an entry of the host list only if its content is in range

Cause: Decoder.Machine checked that fields are there, not what they hold. The rack became part of the record of the machine, twice, which the store refuses above 256 KiB, and the leader repeats a refused append.

Ruled out: crashes by deep nesting or by numbers beyond their type; such entries were dropped alone.

--- a/sched/validate.go
+++ b/sched/validate.go
@@ -10,11 +10,14 @@
 	// maxTasksPerJob bounds the tasks of one job in all its occurrences, so that its
 	// records fit into one append to the log.
 	maxTasksPerJob = 20_000
-	// maxResourceAmount bounds each resource that a task needs, in the unit of its field
-	// in machine.Resources, so that sums do not overflow.
+	// maxResourceAmount bounds each resource that a task needs or a machine has, in the unit
+	// of its field in machine.Resources, so that sums do not overflow.
 	maxResourceAmount = 1 << 40
-	// maxDuration bounds declared run times and intervals, so that sums do not overflow.
+	// maxDuration bounds declared run times, intervals and the time until a machine leaves,
+	// so that sums do not overflow.
 	maxDuration = 366 * 24 * time.Hour
+	// maxUnixMs bounds points of wall clock time, in Unix ms. It is the end of the year 9999.
+	maxUnixMs = 253_402_300_799_999
 )
 
 // Validate returns an error if the job has no steps, a step has no tasks or depends on
@@ -60,3 +63,22 @@
 	}
 	return nil
 }
+
+// Validate returns an error if the machine has no id, or a number is out of range.
+func (m *Machine) Validate() error {
+	if m.ID == "" {
+		return errors.New("the machine has no id")
+	}
+	for _, amount := range []int64{m.Capacity.CPUMilli, m.Capacity.MemoryMiB, m.Capacity.Accelerators} {
+		if amount < 0 || amount > maxResourceAmount {
+			return errors.Errorf("the machine has %d of a resource, 0 to %d are allowed", amount, int64(maxResourceAmount))
+		}
+	}
+	if m.Born < 0 || m.Born > maxUnixMs {
+		return errors.Errorf("the machine has started at %d Unix ms, 0 to %d are allowed", m.Born, int64(maxUnixMs))
+	}
+	if m.Remaining < 0 || m.Remaining > maxDuration {
+		return errors.Errorf("the machine leaves in %v, 0 to %v are allowed", m.Remaining, maxDuration)
+	}
+	return nil
+}
