--- a/sched/machine.go
+++ b/sched/machine.go
@@ -21,9 +21,9 @@
 	health            health
 	relativeRunTime   float64       // learned run time relative to other machines, 0 if not known
 	slowdown          float64       // run time of its current runs relative to the expected one, 0 if not known
-	inHostList        bool          // false also once another machine has replaced it, or if only the entry of a former incarnation is known
+	inHostList        bool          // with the entry of its current incarnation, and not replaced
 	answeredAt        time.Duration // last answer to a poll; before the first, when the machine was added
-	onlyShowedRestart bool          // the last answer to a poll did, its lists were not read
+	onlyShowedRestart bool          // its last answer to a poll showed a restart, the lists were not read
 	unresponsive      bool          // the last poll was not answered, perhaps under a former leader
 	unstoredRecords   int           // records of the machine that are not stored yet
 	servingRuns       int           // runs with a latency target
@@ -88,7 +88,7 @@
 	stopAnsweredAt time.Duration // 0 if no stop was answered
 	stopReason     string        // empty if it is not being stopped
 	listed         bool          // a poll has listed it, so it belongs to the incarnation that answered
-	inDoubtSince   time.Duration // when its machine restarted before a poll had listed it, 0 if it did not
+	inDoubtSince   time.Duration // when a restart of its machine was noticed before a poll had listed it, 0 if never
 	percent        int           // progress
 	percentAt      time.Duration // when percent was last reported, or the run was confirmed
 	progressedAt   time.Duration // when percent last rose, or the run was confirmed
--- a/sched/poll.go
+++ b/sched/poll.go
@@ -75,13 +75,16 @@
 		e.log.Warn().Str("event", "rows_unreadable").Str("machine", id).Int("rows", result.Unreadable).Send()
 		return
 	}
-	unlisted := lo.Filter(m.sortedRuns(), func(r *run, _ int) bool { return !listed[runKey{r.task.name, r.number}] })
 	if result.MoreEnds {
+		unlisted := lo.CountBy(lo.Keys(m.runs), func(k runKey) bool { return !listed[k] })
 		e.log.Info().Str("event", "more_ends_expected").Str("machine", id).Int("ended", len(result.Ended)).
-			Int64("up_to", m.processedEnds).Int("runs_unlisted", len(unlisted)).Send()
+			Int64("up_to", m.processedEnds).Int("runs_unlisted", unlisted).Send()
 		return // the unlisted runs may be among the further ends
 	}
-	for _, r := range unlisted {
+	for _, r := range m.sortedRuns() {
+		if listed[runKey{r.task.name, r.number}] {
+			continue
+		}
 		switch {
 		case r.token < m.token:
 			e.closeRun(r, now, "superseded")
--- a/sched/restart_test.go
+++ b/sched/restart_test.go
@@ -117,8 +117,8 @@
 	f.flush()
 }
 
-// workFor lets time pass in steps of 100 ms, in which a machine lists its runs and the engine plans, and
-// returns the stops that are ordered. percent is the progress of the runs after the time since from.
+// workFor lets time pass in steps of 100 ms, in each of which a machine lists the given tasks as running
+// and the engine makes a pass, and returns the stops that are ordered.
 func (f *engineFixture) workFor(id string, born int64, tasks map[string]string, duration time.Duration) []Stop {
 	var stops []Stop
 	for end := f.now + duration; f.now < end; f.now += 100 * time.Millisecond {
