Queue the changes of TestQueuedChangesSurviveShortHistory in order

The test was wrong: it queued 20 changes from goroutines in any order, kept a history of two, and expected that the one named t0 had left it. If t0 was among the last two, its repeat was rightly recognized.

The changes are now queued one after the other; what is checked is unchanged.

--- a/config/publisher_test.go
+++ b/config/publisher_test.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// queueThenRun queues n changes before the publisher runs and returns their errors.
+// queueThenRun queues n changes, in the order of their numbers, before the publisher runs and returns their errors.
 func (d *daemon) queueThenRun(t *testing.T, n int, op func(int) Op) []error {
 	d.setReady()
 	errs := make([]error, n)
@@ -157,8 +157,8 @@
 		wg.Go(func() {
 			_, errs[i] = d.publisher.Submit(context.Background(), newProposal(fmt.Sprint("t", i), 0, Merge, op(i)))
 		})
+		eventually(t, "the change is queued", func() bool { d.publisher.mu.Lock(); defer d.publisher.mu.Unlock(); return len(d.publisher.queue) == i+1 })
 	}
-	eventually(t, "every change is queued", func() bool { d.publisher.mu.Lock(); defer d.publisher.mu.Unlock(); return len(d.publisher.queue) == n })
 	d.run(t)
 	wg.Wait()
 	return errs
