--- a/config/publisher_test.go
+++ b/config/publisher_test.go
@@ -157,7 +157,11 @@
 		wg.Go(func() {
 			_, errs[i] = d.publisher.Submit(context.Background(), newProposal(fmt.Sprint("t", i), 0, Merge, op(i)))
 		})
-		eventually(t, "the change is queued", func() bool { d.publisher.mu.Lock(); defer d.publisher.mu.Unlock(); return len(d.publisher.queue) == i+1 })
+		eventually(t, "the change is queued", func() bool {
+			d.publisher.mu.Lock()
+			defer d.publisher.mu.Unlock()
+			return len(d.publisher.queue) == i+1
+		})
 	}
 	d.run(t)
 	wg.Wait()
