Keep signals caught until the process ends

Cause: watchReload ended with the context that SIGTERM cancels, and signal.Stop gave SIGHUP its default action back.

Evidence: the process ended with signal: hangup; without it all requests were answered.

Fix: NotifySignals catches SIGTERM, SIGINT and SIGHUP from the start of the process and for good; lifecycle decides what each does. sassafraslbd ignores SIGHUP, of which it died at any time.

--- a/cmd/sassafraslb-cell/main.go
+++ b/cmd/sassafraslb-cell/main.go
@@ -6,9 +6,7 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -51,6 +49,7 @@
 // run runs the daemon until SIGTERM or SIGINT and returns the exit code, 1 if the daemon cannot start or
 // fails. It serves metrics at metricsAddress unless that is empty.
 func run(metricsAddress string) int {
+	signals := platform.NotifySignals()
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -60,9 +59,7 @@
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimitBytes)))
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := platform.Run(ctx, settings, metricsAddress, os.Stdout); err != nil {
+	if err := platform.Run(context.Background(), settings, signals, metricsAddress, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
--- a/cmd/sassafraslbd/main.go
+++ b/cmd/sassafraslbd/main.go
@@ -46,6 +46,7 @@
 // runDaemon runs the daemon until SIGTERM or SIGINT and returns the exit code, 1 if the daemon
 // cannot start or fails.
 func runDaemon(path string) int {
+	signal.Ignore(syscall.SIGHUP) // settings are read at the start only, and its default action would cut open calls
 	settings, err := settings.Load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
