Refuse jobs whose record the log would not take

Cause: the size of a job's record was not checked. The log refuses records above recordBytes, and the leader repeats that append without end.

Evidence: append_retried with refused_400 for one sequence number.

Fix: Submit encodes the record, which Flush then uses, and refuses the job with bad_input if it is too large. The bound comes from recordBytes of the settings and counts the key.

Test: TestJobBeyondRecordLimitIsRefused, which does not compile before; with the bound taken out it fails (jobs of up to 99 steps accepted).

--- a/sched/engine.go
+++ b/sched/engine.go
@@ -29,7 +29,10 @@
 	// MaxBacklog bounds the accepted jobs that have not ended. 0 means 20,000, about
 	// 40 MB of job records.
 	MaxBacklog int
-	Logger     zerolog.Logger
+	// MaxRecordBytes bounds a record that Flush returns: the length of its key and its value,
+	// and 1 byte. 0 means no bound.
+	MaxRecordBytes int
+	Logger         zerolog.Logger
 }
 
 // TokensPerTerm is the number of fencing tokens of one term. The token of a machine
@@ -134,8 +137,8 @@
 
 // Submit accepts a job. done is called when its record is stored. An error means that
 // the job was not accepted and never runs; its kind is BadInput, NotReady (the queue is
-// not known), Overloaded (too many jobs) or Impossible (no machine is large enough). A
-// job whose id is known is not accepted again; done is then called when the first one is
+// not known), Overloaded (too many jobs) or Impossible (no machine is large enough). It
+// is BadInput also for a job whose record would exceed Config.MaxRecordBytes. A job whose id is known is not accepted again; done is then called when the first one is
 // stored, or immediately if it is. wall is the wall clock time at now.
 func (e *Engine) Submit(spec Job, now time.Duration, wall time.Time, done func()) error {
 	if j := e.jobs[spec.ID]; j != nil {
@@ -160,7 +163,17 @@
 	if err := e.rejectOversized(&spec, q); err != nil {
 		return err
 	}
+	record, err := encodeRecord(jobKey(spec.ID), jobRecord{Spec: &spec})
+	if err != nil {
+		return err
+	}
+	if size := record.size(); e.cfg.MaxRecordBytes > 0 && size > e.cfg.MaxRecordBytes {
+		return errkind.New(errkind.BadInput, "job_record_too_large",
+			"the job takes %d bytes in the log, with %d steps and a payload of %d bytes; at most %d are allowed",
+			size, len(spec.Steps), len(spec.Payload), e.cfg.MaxRecordBytes)
+	}
 	j := newJob(spec, q)
+	j.newRecord = record
 	j.setTimes(now, wall, &e.estimator)
 	j.onStored = append(j.onStored, done)
 	e.jobs[spec.ID] = j
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -82,9 +82,8 @@
 	changes := &e.journal
 	b := &RecordBatch{}
 	for _, j := range changes.newJobs {
-		if err := b.add(jobKey(j.spec.ID), jobRecord{Spec: &j.spec}); err != nil {
-			return nil, false, err
-		}
+		b.Records = append(b.Records, j.newRecord)
+		j.newRecord = Record{}
 	}
 	for _, j := range e.liveJobs {
 		if !changes.changedJobs[j] || j.state.final() {
@@ -125,16 +124,27 @@
 	return b, len(b.Records) > 0 || len(b.storedEnds) > 0, nil
 }
 
-// add encodes a record with CBOR and adds it to the batch.
+// add encodes a record and adds it to the batch.
 func (b *RecordBatch) add(key string, v any) error {
+	record, err := encodeRecord(key, v)
+	if err == nil {
+		b.Records = append(b.Records, record)
+	}
+	return err
+}
+
+// encodeRecord encodes a record with CBOR.
+func encodeRecord(key string, v any) (Record, error) {
 	data, err := cbor.Marshal(v)
 	if err != nil {
-		return errors.Wrapf(err, "encode record %s", key)
+		return Record{}, errors.Wrapf(err, "encode record %s", key)
 	}
-	b.Records = append(b.Records, Record{Key: key, Value: data})
-	return nil
+	return Record{Key: key, Value: data}, nil
 }
 
+// size returns the bytes that r takes in the log: its key with one byte for the length, and its value.
+func (r Record) size() int { return 1 + len(r.Key) + len(r.Value) }
+
 // BatchStored confirms that a batch is stored, and tells the callers that wait for it.
 func (e *Engine) BatchStored(b *RecordBatch, now time.Duration) {
 	for _, j := range b.newJobs {
--- a/sched/validate_test.go
+++ b/sched/validate_test.go
@@ -1,7 +1,10 @@
 package sched
 
 import (
+	"fmt"
 	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +79,32 @@
 		t.Errorf("%d jobs restored, want the one that is valid", n)
 	}
 }
+
+// TestJobBeyondRecordLimitIsRefused guards against a job that is accepted although the log refuses its record: the
+// leader repeated that append without end, and stored nothing any more for anybody.
+func TestJobBeyondRecordLimitIsRefused(t *testing.T) {
+	f := newEngineFixture(t, plainQueues, worker("a"))
+	f.engine.cfg.MaxRecordBytes = 1000
+	submit := func(id string, steps int) error {
+		job := Job{ID: id, Queue: "q", Steps: slices.Repeat([]Step{smallStep(1)}, steps)}
+		return f.engine.Submit(job, f.now, time.UnixMilli(0), func() {})
+	}
+	if err := submit("00000000000000a1", 100); errkind.Of(err) != errkind.BadInput || !strings.Contains(err.Error(), "at most 1000") {
+		t.Errorf("a job of 100 steps: %v, want a refusal that names the limit", err)
+	}
+	largest := 0
+	for steps := 1; steps < 100; steps++ {
+		if submit(fmt.Sprintf("%016d", steps), steps) == nil {
+			largest = steps
+		}
+	}
+	batch, _, err := f.engine.Flush(time.UnixMilli(0))
+	if err != nil || largest < 10 || len(batch.Records) != largest {
+		t.Fatalf("jobs of up to %d steps accepted, %d records, %v; want jobs of 10 steps and more, and a record for each", largest, len(batch.Records), err)
+	}
+	for _, r := range batch.Records {
+		if size := 1 + len(r.Key) + len(r.Value); size > 1000 {
+			t.Errorf("record %s takes %d bytes, want at most 1000", r.Key, size)
+		}
+	}
+}
