Isolate records that the log refuses for good

The append was repeated for ever, and the records behind it, of all other jobs, were never stored.

A refused append is tried in halves until the refused records are alone. RecordRefused gives them an outcome: a new job is refused to its callers, a job whose progress is refused fails before any end of the batch is acknowledged, records of machines and of ended jobs are tried again.

--- a/cell/journal.go
+++ b/cell/journal.go
@@ -124,16 +124,23 @@
 		if !hasRecords {
 			continue
 		}
+		var refused []sched.Record
 		var ok bool
-		if sequence, ok = l.appendRecords(ctx, batch.Records, sequence); !ok {
+		if sequence, refused, ok = l.appendRecords(ctx, batch.Records, sequence); !ok {
 			return
 		}
 		l.mu.Lock()
+		for _, r := range refused {
+			l.engine.RecordRefused(batch, r, l.clock())
+		}
 		l.engine.BatchStored(batch, l.clock())
 		close(l.recordsStored)
 		l.recordsStored = make(chan struct{})
 		l.mu.Unlock()
 		notify(l.planSignal)
+		if len(refused) > 0 {
+			pause.For(ctx, logRetry)
+		}
 		pause.For(ctx, minFlushInterval)
 	}
 }
@@ -144,32 +151,60 @@
 
 // appendRecords stores records in order, as many in each append as fit into maxAppendBytes and
 // Settings.MaxAppendBytes; a larger record is appended alone. The size of a record includes 8 bytes
-// for its encoding. It returns the sequence number of the next append, and false if ctx ended or the
-// log refused an append for good.
-func (l *leadership) appendRecords(ctx context.Context, records []sched.Record, sequence int64) (int64, bool) {
+// for its encoding. It returns the sequence number of the next append, the records that the log does not
+// take, and false if ctx ended or the log refused the leader.
+func (l *leadership) appendRecords(ctx context.Context, records []sched.Record, sequence int64) (int64, []sched.Record, bool) {
 	limit := min(l.daemon.settings.MaxAppendBytes, maxAppendBytes)
+	var refused []sched.Record
 	for len(records) > 0 {
 		size, n := 0, 0
-		var entries []Entry
 		for n < len(records) && (n == 0 || size+len(records[n].Value)+len(records[n].Key)+8 <= limit) {
-			r := records[n]
-			entries = append(entries, Entry{Key: r.Key, Value: r.Value})
-			size += len(r.Value) + len(r.Key) + 8
+			size += len(records[n].Value) + len(records[n].Key) + 8
 			n++
 		}
-		if !l.append(ctx, entries, sequence) {
-			return sequence, false
+		// Halves of a refused append are appended until the records that the log does not take are alone.
+		for rest := [][]sched.Record{records[:n]}; len(rest) > 0; {
+			group := rest[0]
+			rest = rest[1:]
+			switch l.append(ctx, toEntries(group), sequence) {
+			case appendGivenUp:
+				return sequence, refused, false
+			case appendStored:
+				sequence++
+			case appendRefused:
+				if len(group) == 1 {
+					refused = append(refused, group[0])
+					continue
+				}
+				rest = append([][]sched.Record{group[:len(group)/2], group[len(group)/2:]}, rest...)
+			}
 		}
-		sequence++
 		records = records[n:]
 	}
-	return sequence, true
+	return sequence, refused, true
+}
+
+// toEntries returns the entries of the log for records.
+func toEntries(records []sched.Record) []Entry {
+	entries := make([]Entry, len(records))
+	for i, r := range records {
+		entries[i] = Entry{Key: r.Key, Value: r.Value}
+	}
+	return entries
 }
 
-// append repeats one append until it is stored. The log recognizes a repeated append by its
-// sequence number. It reports false if ctx ended, or if it has resigned because the log refuses
-// this term or the sequence number.
-func (l *leadership) append(ctx context.Context, entries []Entry, sequence int64) bool {
+// appendOutcome is the outcome of an append that is repeated until it is clear.
+type appendOutcome int
+
+const (
+	appendStored  appendOutcome = iota
+	appendRefused               // the log does not take these entries
+	appendGivenUp               // ctx ended, or the log refused the leader, which has resigned
+)
+
+// append repeats one append until its outcome is clear. The log recognizes a repeated append by its
+// sequence number. The leader resigns if the log refuses this term or the sequence number.
+func (l *leadership) append(ctx context.Context, entries []Entry, sequence int64) appendOutcome {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		sent := l.clock()
 		limited, cancel := context.WithTimeout(ctx, logTimeout)
@@ -178,18 +213,22 @@
 		l.daemon.settings.Metrics.AppendSeconds.Observe((l.clock() - sent).Seconds())
 		if err == nil {
 			l.daemon.settings.Metrics.Appends.WithLabelValues("stored").Inc()
-			return true
+			return appendStored
 		}
 		l.daemon.settings.Metrics.Appends.WithLabelValues(errkind.ReasonOf(err)).Inc()
 		switch errkind.Of(err) {
+		case errkind.BadInput:
+			l.logger.Error().Str("event", "append_refused").Int64("sequence", sequence).Int("records", len(entries)).
+				Str("first_key", entries[0].Key).Int("first_bytes", len(entries[0].Value)).Err(err).Send()
+			return appendRefused
 		case errkind.StaleEpoch:
 			l.logger.Warn().Str("event", "append_fenced").Int64("sequence", sequence).Err(err).Send()
 			l.daemon.tenure.Resign("another daemon has taken over the job state")
-			return false
+			return appendGivenUp
 		case errkind.Conflict:
 			l.logger.Error().Str("event", "append_out_of_sequence").Int64("sequence", sequence).Err(err).Send()
 			l.daemon.tenure.Resign("the log refused the sequence number of an append")
-			return false
+			return appendGivenUp
 		}
 		l.daemon.settings.Metrics.Retries.WithLabelValues("append").Inc()
 		if attempt == 0 {
@@ -197,5 +236,5 @@
 		}
 		pause.For(ctx, logRetry)
 	}
-	return false
+	return appendGivenUp
 }
--- a/cell/journal_test.go
+++ b/cell/journal_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
+	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
@@ -35,14 +39,72 @@
 	for i := range 300 {
 		records = append(records, sched.Record{Key: fmt.Sprint(i), Value: make([]byte, 4000)})
 	}
-	if _, ok := l.appendRecords(context.Background(), records, 1); !ok {
-		t.Fatal("appendRecords reports that the records are not stored")
+	if _, refused, ok := l.appendRecords(context.Background(), records, 1); !ok || len(refused) > 0 {
+		t.Fatalf("appendRecords reports %v, and %d refused records; want all stored", ok, len(refused))
 	}
 	if log.records != 300 || log.largest > maxAppendBytes {
 		t.Errorf("%d records in appends of up to %d bytes, want 300 in %d", log.records, log.largest, maxAppendBytes)
 	}
 }
 
+// pickyLog refuses each append with an entry whose value is "bad", and wants consecutive sequence numbers.
+type pickyLog struct {
+	*memoryLog
+	stored       []string
+	nextSequence int64
+	refusals     int
+}
+
+func (l *pickyLog) Append(_ context.Context, _ Stream, entries []Entry, f Fence) error {
+	for _, e := range entries {
+		if string(e.Value) == "bad" {
+			l.refusals++
+			return errkind.New(errkind.BadInput, "refused_400", "a record is too large")
+		}
+	}
+	if f.Sequence != l.nextSequence {
+		return errkind.New(errkind.Conflict, "sequence", "got %d, want %d", f.Sequence, l.nextSequence)
+	}
+	l.nextSequence++
+	for _, e := range entries {
+		l.stored = append(l.stored, e.Key)
+	}
+	return nil
+}
+
+// TestRefusedRecordsBlockNoOthers guards against a leader that repeats an append which the log does not take, and
+// stores nothing any more. The order of the other records stays.
+func TestRefusedRecordsBlockNoOthers(t *testing.T) {
+	for _, bad := range [][]int{{}, {0}, {6}, {3}, {2, 3}, {0, 6}, {0, 1, 2, 3, 4, 5, 6}} {
+		log := &pickyLog{memoryLog: newMemoryLog(), nextSequence: 1}
+		l := &leadership{daemon: New(Settings{Name: "a", Log: log, MaxAppendBytes: 2 << 20, Logger: zerolog.Nop()}), logger: zerolog.Nop(), clock: HostClock}
+		var records []sched.Record
+		var wantStored, wantRefused []string
+		for i := range 7 {
+			r := sched.Record{Key: fmt.Sprint(i), Value: []byte("good")}
+			if slices.Contains(bad, i) {
+				r.Value = []byte("bad")
+				wantRefused = append(wantRefused, r.Key)
+			} else {
+				wantStored = append(wantStored, r.Key)
+			}
+			records = append(records, r)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		next, refused, ok := l.appendRecords(ctx, records, 1)
+		cancel()
+		if !ok || next != log.nextSequence {
+			t.Errorf("bad %v: ok %v, next sequence number %d; want true and %d", bad, ok, next, log.nextSequence)
+		}
+		if diff := cmp.Diff(wantStored, log.stored); diff != "" {
+			t.Errorf("bad %v: stored records (-want +got):\n%s", bad, diff)
+		}
+		if diff := cmp.Diff(wantRefused, lo.Map(refused, func(r sched.Record, _ int) string { return r.Key })); diff != "" && len(bad) > 0 {
+			t.Errorf("bad %v: refused records (-want +got):\n%s", bad, diff)
+		}
+	}
+}
+
 // staleLog returns an old snapshot of its entries from Newest.
 type staleLog struct {
 	*memoryLog
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -156,9 +156,9 @@
 
 // submit accepts a job and returns once it is stored.
 func (l *leadership) submit(ctx context.Context, job *sched.Job) error {
-	stored := make(chan struct{})
+	stored := make(chan error, 1)
 	l.mu.Lock()
-	err := l.engine.Submit(*job, l.clock(), time.Now(), func() { close(stored) })
+	err := l.engine.Submit(*job, l.clock(), time.Now(), func(err error) { stored <- err })
 	l.mu.Unlock()
 	if err != nil {
 		l.logger.Info().Str("event", "job_refused").Str("job", job.ID).Str("queue", job.Queue).Err(err).Send()
@@ -175,15 +175,15 @@
 // waitAccepted waits until a job is stored. A job that has not been sent to the log by the end
 // of the tenure is withdrawn, so that its caller learns that it never runs and when to retry,
 // instead of an unknown outcome.
-func (l *leadership) waitAccepted(ctx context.Context, job *sched.Job, stored chan struct{}) error {
+func (l *leadership) waitAccepted(ctx context.Context, job *sched.Job, stored chan error) error {
 	check := time.NewTicker(tenureCheckInterval)
 	defer check.Stop()
 	for {
 		select {
-		case <-stored:
-			return nil
+		case err := <-stored:
+			return err
 		case <-ctx.Done():
-			return l.waitStored(ctx, stored)
+			return notStoredInTime()
 		case <-check.C:
 		}
 		if l.daemon.tenure.Held() {
@@ -199,15 +199,9 @@
 	}
 }
 
-// waitStored waits until stored is closed. If ctx ends first, the error is of kind
-// append_unknown: the record may still be stored.
-func (l *leadership) waitStored(ctx context.Context, stored chan struct{}) error {
-	select {
-	case <-stored:
-		return nil
-	case <-ctx.Done():
-		return errkind.New(errkind.AppendUnknown, "not_stored_in_time", "the record is not stored yet")
-	}
+// notStoredInTime returns the error of a caller whose time is over: the record may still be stored.
+func notStoredInTime() error {
+	return errkind.New(errkind.AppendUnknown, "not_stored_in_time", "the record is not stored yet")
 }
 
 func (l *leadership) jobState(id string) (sched.JobState, bool) {
@@ -227,7 +221,12 @@
 	}
 	notify(l.flushSignal)
 	notify(l.planSignal)
-	return true, l.waitStored(ctx, stored)
+	select {
+	case <-stored:
+		return true, nil
+	case <-ctx.Done():
+		return true, notStoredInTime()
+	}
 }
 
 // pending returns the number of accepted jobs without a started task, by queue.
--- a/cell/logroute.go
+++ b/cell/logroute.go
@@ -115,7 +115,7 @@
 		return true
 	}
 	switch errkind.Of(err) {
-	case errkind.Conflict, errkind.StaleEpoch, errkind.NotFound:
+	case errkind.Conflict, errkind.StaleEpoch, errkind.NotFound, errkind.BadInput:
 		return true
 	}
 	return false
--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -71,7 +71,7 @@
 			eventually(t, "a job for a queue of the second configuration is accepted", time.Second, func() bool {
 				l.mu.Lock()
 				defer l.mu.Unlock()
-				return l.engine.Submit(job, l.clock(), time.Now(), func() {}) == nil
+				return l.engine.Submit(job, l.clock(), time.Now(), func(error) {}) == nil
 			})
 		})
 	}
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -68,7 +68,7 @@
 			j.Queue, j.Steps = "gang", []Step{{Count: 6, Gang: true, Estimate: 6200 * time.Millisecond,
 				Need: machine.Resources{CPUMilli: 4500, MemoryMiB: 6400}}}
 		}
-		if err := e.Submit(j, now, wall, func() {}); err != nil {
+		if err := e.Submit(j, now, wall, func(error) {}); err != nil {
 			tb.Fatal(err)
 		}
 	}
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -135,15 +135,16 @@
 	}
 }
 
-// Submit accepts a job. done is called when its record is stored. An error means that
+// Submit accepts a job. done is called when its record is stored, or with an error when the
+// log has refused the record; the job then never runs. An error of Submit means that
 // the job was not accepted and never runs; its kind is BadInput, NotReady (the queue is
 // not known), Overloaded (too many jobs) or Impossible (no machine is large enough). It
 // is BadInput also for a job whose record would exceed Config.MaxRecordBytes. A job whose id is known is not accepted again; done is then called when the first one is
 // stored, or immediately if it is. wall is the wall clock time at now.
-func (e *Engine) Submit(spec Job, now time.Duration, wall time.Time, done func()) error {
+func (e *Engine) Submit(spec Job, now time.Duration, wall time.Time, done func(error)) error {
 	if j := e.jobs[spec.ID]; j != nil {
 		if j.stored {
-			done()
+			done(nil)
 		} else {
 			j.onStored = append(j.onStored, done)
 		}
@@ -196,11 +197,16 @@
 		return false
 	}
 	e.journal.newJobs = slices.Delete(e.journal.newJobs, i, i+1)
+	e.forgetNewJob(j)
+	return true
+}
+
+// forgetNewJob removes a job that is not stored and has no runs.
+func (e *Engine) forgetNewJob(j *job) {
 	e.liveJobs = slices.DeleteFunc(e.liveJobs, func(x *job) bool { return x == j })
-	delete(e.jobs, id)
+	delete(e.jobs, j.spec.ID)
 	delete(e.journal.changedJobs, j)
 	e.stats.Accepted--
-	return true
 }
 
 // rejectOversized returns an error if a task of the job needs more than any known
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -58,7 +58,7 @@
 	f.jobCount++
 	id := fmt.Sprintf("%016d", f.jobCount)
 	if err := f.engine.Submit(Job{ID: id, Queue: queue, Steps: steps, Accepted: f.now.Milliseconds()}, f.now,
-		time.UnixMilli(f.now.Milliseconds()), func() {}); err != nil {
+		time.UnixMilli(f.now.Milliseconds()), func(error) {}); err != nil {
 		f.t.Fatal(err)
 	}
 	f.flush()
--- a/sched/job.go
+++ b/sched/job.go
@@ -24,9 +24,9 @@
 	arrived         time.Duration  // at the daemon that received it
 	objective       time.Duration  // when callers want it completed; for an occurrence see step.objective
 	ended           time.Duration
-	newRecord       Record   // of the job, until Flush has returned it
-	onStored        []func() // called once the record of the job is stored
-	onFinal         []func() // called once the final record is stored
+	newRecord       Record        // of the job, until Flush has returned it
+	onStored        []func(error) // called once the record of the job is stored or refused
+	onFinal         []func()      // called once the final record is stored
 }
 
 // occurrence is one run of the steps of a job.
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -1,11 +1,14 @@
 package sched
 
 import (
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"github.com/samber/lo"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
 )
 
 // The prefixes of the keys of records.
@@ -148,7 +151,7 @@
 func (e *Engine) BatchStored(b *RecordBatch, now time.Duration) {
 	for _, j := range b.newJobs {
 		j.stored = true
-		runAndClear(&j.onStored)
+		j.answerSubmissions(nil)
 	}
 	for _, j := range b.endedJobs {
 		j.finalStored = true
@@ -165,6 +168,45 @@
 	}
 }
 
+// RecordRefused takes into account that the log does not take a record of a batch. It must be
+// called before BatchStored. A new job is not accepted. A job whose progress cannot be stored
+// fails, since a new leader would run its done tasks again; no ends are acknowledged before
+// that is stored. The records of machines and of ended jobs are returned again by the next
+// Flush; such a machine takes no work meanwhile.
+func (e *Engine) RecordRefused(b *RecordBatch, r Record, now time.Duration) {
+	e.log.Error().Str("event", "record_refused").Str("key", r.Key).Int("bytes", r.size()).Send()
+	refusal := errkind.New(errkind.BadInput, "record_refused", "the log does not take the record of the job, of %d bytes", r.size())
+	isNamed := func(j *job) bool { return r.Key == jobKey(j.spec.ID) }
+	for _, j := range lo.Filter(b.newJobs, func(j *job, _ int) bool { return isNamed(j) && len(r.Value) > 0 }) {
+		b.newJobs = lo.Without(b.newJobs, j)
+		e.forgetNewJob(j)
+		j.answerSubmissions(refusal)
+	}
+	for _, j := range lo.Filter(b.endedJobs, func(j *job, _ int) bool { return isNamed(j) }) {
+		b.endedJobs = lo.Without(b.endedJobs, j)
+		e.journal.endedJobs = append(e.journal.endedJobs, j)
+	}
+	for _, m := range lo.Filter(b.machines, func(m *machineState, _ int) bool { return r.Key == machineKey(m.spec.ID) }) {
+		b.machines = lo.Without(b.machines, m)
+		e.journal.machines = append(e.journal.machines, m)
+	}
+	id, _, _ := strings.Cut(strings.TrimPrefix(r.Key, prefixProgress), ".")
+	if j := e.jobs[id]; j != nil && strings.HasPrefix(r.Key, prefixProgress) && len(r.Value) > 0 {
+		b.storedEnds = nil
+		if !j.state.final() {
+			e.finish(j, Failed, "the log does not take the record of its progress", now)
+		}
+	}
+}
+
+// answerSubmissions tells the callers that wait until the job is stored.
+func (j *job) answerSubmissions(err error) {
+	for _, f := range j.onStored {
+		f(err)
+	}
+	j.onStored = nil
+}
+
 // runAndClear calls the functions of a list and empties it.
 func runAndClear(list *[]func()) {
 	for _, f := range *list {
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -183,7 +183,7 @@
 			objective: l.now + k.queue.Target + time.Duration(k.queue.Stretch*float64(chain)),
 			work:      float64(len(j.Steps)*step.Count) * runTime.Seconds() * float64(step.Need.CPUMilli) / 1000}
 		l.jobs[j.ID] = lj
-		if err := l.engine.Submit(j, l.now, l.wall(), func() {}); err != nil {
+		if err := l.engine.Submit(j, l.now, l.wall(), func(error) {}); err != nil {
 			l.refused++
 		}
 	}
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -15,7 +15,7 @@
 	j := Job{ID: "0000000000000001", Queue: "q", Steps: []Step{{Count: 8, Estimate: 4 * time.Second}},
 		Accepted: sim.wall().UnixMilli()}
 	sim.jobSpecs[j.ID] = j
-	if err := sim.engine.Submit(j, sim.now, sim.wall(), func() { sim.accepted[j.ID] = true }); err != nil {
+	if err := sim.engine.Submit(j, sim.now, sim.wall(), func(error) { sim.accepted[j.ID] = true }); err != nil {
 		t.Fatal(err)
 	}
 	sim.runUntil(time.Second)
@@ -45,7 +45,7 @@
 	submit := func(id string, count int, runTime time.Duration) {
 		j := Job{ID: id, Queue: "q", Steps: []Step{{Count: count, Estimate: runTime}}, Accepted: sim.wall().UnixMilli()}
 		sim.jobSpecs[id] = j
-		if err := sim.engine.Submit(j, sim.now, sim.wall(), func() { sim.accepted[id] = true }); err != nil {
+		if err := sim.engine.Submit(j, sim.now, sim.wall(), func(error) { sim.accepted[id] = true }); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/sched/plan_test.go
+++ b/sched/plan_test.go
@@ -99,7 +99,7 @@
 		f := newEngineFixture(t, plainQueues, worker("m1"))
 		j := Job{ID: "00000000000000aa", Queue: "q", Steps: []Step{smallStep(1)}, Accepted: f.now.Milliseconds(),
 			FirstDue: f.now.Milliseconds() + 500, Interval: time.Second, Repeat: 2}
-		if err := f.engine.Submit(j, f.now, time.UnixMilli(f.now.Milliseconds()), func() {}); err != nil {
+		if err := f.engine.Submit(j, f.now, time.UnixMilli(f.now.Milliseconds()), func(error) {}); err != nil {
 			t.Fatal(err)
 		}
 		f.flush()
--- a/sched/progress_test.go
+++ b/sched/progress_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
+
+	"github.com/sassafraslb/sassafraslb/errkind"
 )
 
 // progressFixture runs one job on an engine that is replaced by new leaders, with a log that takes records up to a
@@ -33,7 +35,7 @@
 	defer func() { f.engine.cfg.MaxRecordBytes = f.limit }() // the job itself may be larger
 	f.engine.SetQueues(1, []Queue{{Name: "q", Service: "s", MaxAttempts: maxFailuresInTest + 1}})
 	if job != nil {
-		if err := f.engine.Submit(*job, time.Second, time.UnixMilli(0), func() {}); err != nil {
+		if err := f.engine.Submit(*job, time.Second, time.UnixMilli(0), func(error) {}); err != nil {
 			f.t.Fatal(err)
 		}
 		return
@@ -206,3 +208,67 @@
 		t.Error(fmt.Sprint("no task is started although the lease of the machine has expired"))
 	}
 }
+
+// TestRefusedRecordsHaveAnOutcome guards against callers who wait for a job that the log does not take, against ends
+// that are acknowledged although the progress of their job is not stored, and against a job that is lost.
+func TestRefusedRecordsHaveAnOutcome(t *testing.T) {
+	f := newEngineFixture(t, plainQueues, worker("a"))
+	var answers []error
+	submit := func() {
+		if err := f.engine.Submit(Job{ID: "00000000000000aa", Queue: "q", Steps: []Step{smallStep(1)}}, f.now, time.UnixMilli(0),
+			func(err error) { answers = append(answers, err) }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	submit()
+	submit() // a repeated call waits for the same record
+	refuse := func(prefix string) {
+		batch, _, err := f.engine.Flush(time.UnixMilli(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		for _, r := range batch.Records {
+			if r.Key[:1] == prefix && len(r.Value) > 0 {
+				f.engine.RecordRefused(batch, r, f.now)
+				n++
+			}
+		}
+		if n != 1 {
+			t.Fatalf("%d records with prefix %s, want 1", n, prefix)
+		}
+		f.engine.BatchStored(batch, f.now)
+	}
+	refuse(prefixJob)
+	if len(answers) != 2 || errkind.Of(answers[0]) != errkind.BadInput || errkind.Of(answers[1]) != errkind.BadInput {
+		t.Errorf("answers %v, want two refusals", answers)
+	}
+	if placed := f.planAndConfirm(); len(placed) != 0 {
+		t.Errorf("started %v of a job that was refused", placed)
+	}
+	id := f.submit(smallStep(2))
+	if placed := f.planAndConfirm(); len(placed) != 2 {
+		t.Fatalf("started %v, want two tasks", placed)
+	}
+	f.poll("a", []RunReport{{Task: id + ".0.0.1", Run: 1}}, []EndReport{{Number: 1, Task: id + ".0.0.0", Run: 1, Kind: EndDone}})
+	refuse(prefixProgress)
+	if stored, _ := f.engine.EndNumbers("a"); stored != 0 {
+		t.Errorf("ends up to %d are acknowledged, although nothing of them is stored", stored)
+	}
+	f.flush()
+	if state, known := f.engine.State(id); !known || state != Failed {
+		t.Errorf("the job is %s, known %v; want failed", state, known)
+	}
+	if stored, _ := f.engine.EndNumbers("a"); stored != 1 {
+		t.Errorf("ends up to %d are acknowledged once the job has failed, want 1", stored)
+	}
+	f.engine.PollUnanswered("a")
+	refuse(prefixMachine)
+	f.flush()
+	f.poll("a", nil, nil)
+	f.flush()
+	f.submit(smallStep(1))
+	if placed := f.planAndConfirm(); len(placed) != 1 {
+		t.Errorf("started %v on a machine whose record is stored at last, want one task", placed)
+	}
+}
--- a/sched/safety_test.go
+++ b/sched/safety_test.go
@@ -49,7 +49,7 @@
 	f := newEngineFixture(t, plainQueues, worker("m1"))
 	submit := func(id string) {
 		if err := f.engine.Submit(Job{ID: id, Queue: "q", Steps: []Step{smallStep(1)}, Accepted: f.now.Milliseconds()}, f.now,
-			time.UnixMilli(f.now.Milliseconds()), func() {}); err != nil {
+			time.UnixMilli(f.now.Milliseconds()), func(error) {}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/sched/simulation_test.go
+++ b/sched/simulation_test.go
@@ -250,7 +250,7 @@
 		jobCount++
 		j := sim.randomJob(jobCount)
 		sim.jobSpecs[j.ID] = j
-		if err := sim.engine.Submit(j, sim.now, sim.wall(), func() { sim.accepted[j.ID] = true }); err != nil {
+		if err := sim.engine.Submit(j, sim.now, sim.wall(), func(error) { sim.accepted[j.ID] = true }); err != nil {
 			sim.t.Fatal(err)
 		}
 		if sim.chance(0.05) {
--- a/sched/validate_test.go
+++ b/sched/validate_test.go
@@ -44,7 +44,7 @@
 func TestInvalidJobsAreRefused(t *testing.T) {
 	for name, job := range invalidJobs() {
 		f := newEngineFixture(t, plainQueues, worker("a"))
-		err := f.engine.Submit(job, f.now, time.UnixMilli(0), func() {})
+		err := f.engine.Submit(job, f.now, time.UnixMilli(0), func(error) {})
 		if errkind.Of(err) != errkind.BadInput {
 			t.Errorf("%s: Submit returned %v, want a refusal of kind %s", name, err, errkind.BadInput)
 		}
@@ -87,7 +87,7 @@
 	f.engine.cfg.MaxRecordBytes = 1000
 	submit := func(id string, steps int) error {
 		job := Job{ID: id, Queue: "q", Steps: slices.Repeat([]Step{smallStep(1)}, steps)}
-		return f.engine.Submit(job, f.now, time.UnixMilli(0), func() {})
+		return f.engine.Submit(job, f.now, time.UnixMilli(0), func(error) {})
 	}
 	if err := submit("00000000000000a1", 100); errkind.Of(err) != errkind.BadInput || !strings.Contains(err.Error(), "at most 1000") {
 		t.Errorf("a job of 100 steps: %v, want a refusal that names the limit", err)
