Bound the times that come from callers and configurations

Cause: milliseconds until the due time were multiplied into nanoseconds, which overflows beyond 292 years.

Fix: spans of at most 20 years with saturation, in one place; points of time and latency targets have a checked range, and are moved into it in records of former builds.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, test, lint, demo, bench, bench-compare, soak, soak-cell, generate. Each installs what it
+# Targets: build, test, fuzz, lint, demo, bench, bench-compare, soak, soak-cell, generate. Each installs what it
 # needs through the Go module proxy; no other download is made.
 
 GO ?= go
@@ -6,7 +6,7 @@
 # Packages whose tests run under the race detector.
 RACE ?= -race
 
-.PHONY: build test lint demo bench bench-compare soak soak-cell generate clean
+.PHONY: build test fuzz lint demo bench bench-compare soak soak-cell generate clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -14,6 +14,16 @@
 test: build
 	$(GO) test $(RACE) -count=1 -timeout 20m $(GOTESTFLAGS) ./...
 
+# Runs FUZZTIME inputs through each fuzz test of the packages: a number of them, since with a time the go command
+# reports inputs that it cuts off at the end as failed. Inputs that fail are kept under testdata/fuzz; commit them.
+FUZZTIME ?= 50000x
+FUZZPACKAGES ?= ./sched ./platform
+fuzz:
+	@set -e; for p in $(FUZZPACKAGES); do for f in $$($(GO) test -list '^Fuzz' $$p | grep '^Fuzz'); do \
+		echo "fuzz $$p $$f"; \
+		out=$$($(GO) test -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) $$p 2>&1) || { echo "$$out"; exit 1; }; \
+		done; done
+
 lint:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
 	$(GO) vet ./...
--- a/sched/job.go
+++ b/sched/job.go
@@ -111,15 +111,14 @@
 // setTimes sets arrival, due times, chain times and the objective of the job. wall is
 // the wall clock time at now.
 func (j *job) setTimes(now time.Duration, wall time.Time, estimator *runTimeEstimator) {
-	age := time.Duration(wall.UnixMilli()-j.spec.Accepted) * time.Millisecond
-	j.arrived = now - max(age, 0)
+	j.arrived = now - clampSpan(spanOfMillis(wall.UnixMilli()-j.spec.Accepted))
 	expected := func(s *Step) time.Duration { return estimator.expected(j.queue, s) }
 	chainTimes := j.spec.chainTimes(expected)
 	for _, o := range j.occurrences {
 		o.due = j.arrived
 		if j.spec.Repeat > 0 {
 			due := j.spec.FirstDue + int64(o.number)*j.spec.Interval.Milliseconds()
-			o.due = now + time.Duration(due-wall.UnixMilli())*time.Millisecond
+			o.due = now + spanOfMillis(due-wall.UnixMilli())
 		}
 		for i, s := range o.steps {
 			s.chainTime = chainTimes[i]
@@ -133,7 +132,7 @@
 func (j *Job) chainTimes(expected func(*Step) time.Duration) []time.Duration {
 	out := make([]time.Duration, len(j.Steps))
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		out[i] += expected(&j.Steps[i])
+		out[i] = clampSpan(out[i] + expected(&j.Steps[i]))
 		for _, d := range j.Steps[i].DependsOn {
 			out[d] = max(out[d], out[i])
 		}
@@ -144,7 +143,7 @@
 // objective returns the time from arrival within which callers want a job completed
 // whose steps have these chain times. For an occurrence it counts from its due time.
 func (q *Queue) objective(chainTimes []time.Duration) time.Duration {
-	return q.Target + time.Duration(q.Stretch*float64(lo.Max(chainTimes)))
+	return clampSpan(clampSpan(q.Target) + scaleSpan(lo.Max(chainTimes), q.Stretch))
 }
 
 // Objective returns the time from arrival within which callers want a job completed, by
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -288,10 +288,10 @@
 	}
 	if rec.Spec == nil {
 		e.jobs[id] = &job{spec: Job{ID: id}, state: rec.State, stored: true, finalStored: true, begun: true}
-		age := time.Duration(wall.UnixMilli()-rec.Ended) * time.Millisecond
-		e.endedJobs = append(e.endedJobs, endedJob{id, now - max(age, 0)})
+		e.endedJobs = append(e.endedJobs, endedJob{id, now - clampSpan(spanOfMillis(wall.UnixMilli()-rec.Ended))})
 		return nil
 	}
+	rec.Spec.clampTimes()
 	if err := rec.Spec.Validate(); err != nil {
 		return errors.Wrap(err, "validate stored job")
 	}
--- a/sched/validate.go
+++ b/sched/validate.go
@@ -16,14 +16,15 @@
 	// maxDuration bounds declared run times, intervals and the time until a machine leaves,
 	// so that sums do not overflow.
 	maxDuration = 366 * 24 * time.Hour
+	// maxLatencyTarget bounds the latency target of a step, in ms.
+	maxLatencyTarget = 1 << 31
 	// maxUnixMs bounds points of wall clock time, in Unix ms. It is the end of the year 9999.
 	maxUnixMs = 253_402_300_799_999
 )
 
 // Validate returns an error if the job has no steps, a step has no tasks or depends on
 // one that is not an earlier step, or a number is out of range. The numbers come from
-// callers and from stored records, so the engine checks each job. Accepted, FirstDue and
-// LatencyTarget are not checked.
+// callers and from stored records, so the engine checks each job.
 func (j *Job) Validate() error {
 	if len(j.Steps) == 0 {
 		return errors.New("the job has no steps")
@@ -31,6 +32,12 @@
 	if j.Repeat < 0 || j.Repeat > maxTasksPerJob {
 		return errors.Errorf("the job has %d occurrences, 0 to %d are allowed", j.Repeat, maxTasksPerJob)
 	}
+	if j.FirstDue < 0 || j.FirstDue > maxUnixMs {
+		return errors.Errorf("the job is due at %d Unix ms, 0 to %d are allowed", j.FirstDue, int64(maxUnixMs))
+	}
+	if j.Accepted < 0 || j.Accepted > maxUnixMs {
+		return errors.Errorf("the job arrived at %d Unix ms, 0 to %d are allowed", j.Accepted, int64(maxUnixMs))
+	}
 	if j.Interval < 0 || j.Interval > maxDuration {
 		return errors.Errorf("the interval is %v, 0 to %v are allowed", j.Interval, maxDuration)
 	}
@@ -52,6 +59,9 @@
 		if s.Estimate < 0 || s.Estimate > maxDuration {
 			return errors.Errorf("step %d has an estimated run time of %v, 0 to %v are allowed", i, s.Estimate, maxDuration)
 		}
+		if s.LatencyTarget < 0 || s.LatencyTarget > maxLatencyTarget {
+			return errors.Errorf("step %d has a latency target of %d ms, 0 to %d are allowed", i, s.LatencyTarget, maxLatencyTarget)
+		}
 		if s.MaxPerMachine < 0 || s.MaxUnavailable < 0 {
 			return errors.Errorf("step %d has a negative limit of tasks", i)
 		}
@@ -64,6 +74,15 @@
 	return nil
 }
 
+// clampTimes moves points of time that former builds have accepted into the range that
+// Validate allows.
+func (j *Job) clampTimes() {
+	j.FirstDue, j.Accepted = min(max(j.FirstDue, 0), maxUnixMs), min(max(j.Accepted, 0), maxUnixMs)
+	for i := range j.Steps {
+		j.Steps[i].LatencyTarget = min(max(j.Steps[i].LatencyTarget, 0), maxLatencyTarget)
+	}
+}
+
 // Validate returns an error if the machine has no id, or a number is out of range.
 func (m *Machine) Validate() error {
 	if m.ID == "" {
--- a/sched/validate_test.go
+++ b/sched/validate_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/lo"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/machine"
@@ -39,10 +40,24 @@
 	}
 }
 
+// jobsWithTimesOutOfRange returns jobs that are refused, but which former builds have accepted.
+func jobsWithTimesOutOfRange() map[string]Job {
+	with := func(f func(*Job, *Step)) Job {
+		j := Job{ID: "0000000000000001", Queue: "q", Steps: []Step{{Count: 2}}}
+		f(&j, &j.Steps[0])
+		return j
+	}
+	return map[string]Job{
+		"due too late":            with(func(j *Job, _ *Step) { j.FirstDue = maxUnixMs + 1 }),
+		"due before 1970":         with(func(j *Job, _ *Step) { j.FirstDue = -1 }),
+		"negative latency target": with(func(_ *Job, s *Step) { s.LatencyTarget = -1 }),
+	}
+}
+
 // TestInvalidJobsAreRefused guards against a job that makes the leader fail, and then
 // each leader that the caller's retries reach.
 func TestInvalidJobsAreRefused(t *testing.T) {
-	for name, job := range invalidJobs() {
+	for name, job := range lo.Assign(invalidJobs(), jobsWithTimesOutOfRange()) {
 		f := newEngineFixture(t, plainQueues, worker("a"))
 		err := f.engine.Submit(job, f.now, time.UnixMilli(0), func(error) {})
 		if errkind.Of(err) != errkind.BadInput {
