Wait for all silent machines on which a task may run

What callers could see: a task that runs twice after a change of the leader (review, by reading).

Cause: two records of silent machines can name the same task, and a restored task remembered only one of them.

Test: TestTaskWaitsForAllMachinesThatMayRunIt failed before when the machine that answers was the one remembered.

--- a/sched/job.go
+++ b/sched/job.go
@@ -72,7 +72,7 @@
 	moves        int           // runs that were stopped because they were stuck or slow
 	avoidMachine string        // id of the machine on which its last start or run went wrong
 	checkpoint   string
-	mayRunOn     *machineState // a machine that did not answer the former leader, on which it may still run
+	mayRunOn     []*machineState // machines that did not answer the former leader, on which it may still run
 }
 
 // gangAttempt is the current attempt to run all members of a gang.
@@ -182,10 +182,10 @@
 	return float64(left) * float64(s.spec.Need.CPUMilli) / 1000 * s.spec.Estimate.Seconds()
 }
 
-// placeable reports whether t is neither done nor placed, and cannot still run on a
-// machine that the former leader did not reach.
+// placeable reports whether t is neither done nor placed, and cannot still run on machines
+// that the former leader did not reach.
 func (t *task) placeable() bool {
-	return !t.done && t.run == nil && (t.mayRunOn == nil || !t.mayRunOn.mayHaveFormerRuns)
+	return !t.done && t.run == nil && !lo.SomeBy(t.mayRunOn, func(m *machineState) bool { return m.mayHaveFormerRuns })
 }
 
 // objective returns when the callers want the occurrence of s completed.
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -268,8 +268,9 @@
 	}
 	for _, rec := range unresponsive {
 		for _, name := range rec.Tasks {
-			if t := e.findTask(name); t != nil {
-				t.mayRunOn = e.machines[rec.Machine.ID]
+			t, m := e.findTask(name), e.machines[rec.Machine.ID]
+			if t != nil && m != nil {
+				t.mayRunOn = append(t.mayRunOn, m)
 			}
 		}
 	}
--- a/sched/queues_test.go
+++ b/sched/queues_test.go
@@ -153,3 +153,32 @@
 		t.Error("the record of a removed queue without jobs is left")
 	}
 }
+
+// TestTaskWaitsForAllMachinesThatMayRunIt guards against a task that a new leader starts a second time: it may run on two
+// silent machines, the second of which it was given when the lease of the first had expired, and only one was
+// waited for.
+func TestTaskWaitsForAllMachinesThatMayRunIt(t *testing.T) {
+	for answering, silent := range map[string]string{"a": "b", "b": "a"} {
+		f := newEngineFixture(t, plainQueues, worker("a"), worker("b"), worker("c"))
+		id := f.submit(smallStep(1))
+		name := id + ".0.0.0"
+		records := encodeRecords(t, map[string]any{jobKey(id): jobRecord{Spec: &f.engine.jobs[id].spec}})
+		for _, m := range []string{"a", "b"} {
+			records = append(records, encodeRecords(t, map[string]any{
+				machineKey(m): machineRecord{Machine: worker(m), Unresponsive: true, Tasks: []string{name}}})...)
+		}
+		f.engine = New(Config{Token: 512, Lease: 6 * time.Second, StopLimit: 400 * time.Millisecond, Logger: zerolog.Nop()}, f.now)
+		f.engine.SetQueues(1, plainQueues)
+		f.engine.Restore(records, f.now, time.UnixMilli(f.now.Milliseconds()))
+		f.list(worker("a"), worker("b"), worker("c"))
+		f.poll("c", nil, nil)
+		f.poll(answering, nil, nil)
+		f.flush()
+		if placed := f.planAndConfirm(); len(placed) != 0 {
+			t.Errorf("started %v after an answer of %s, although it may run on %s", placed, answering, silent)
+		}
+		if _, ok := f.placedAgain(silent, 8*time.Second); !ok {
+			t.Error("the task is not started although the lease of the silent machine has expired")
+		}
+	}
+}
