Store deletions before the records of what is back

What callers could see: tasks of a machine that are started again, or an accepted job that is lost, after a change of the leader (review, by reading).

Cause: a batch listed deleted keys last. A machine that was forgotten and listed again between two flushes kept no record, and so did a job that was handed in again under its id and a queue that was added again.

Test: TestRecordsThatComeBackAreStored failed before for all three.

--- a/sched/journal.go
+++ b/sched/journal.go
@@ -73,6 +73,9 @@
 func (e *Engine) Flush(wall time.Time) (*RecordBatch, bool, error) {
 	changes := &e.journal
 	b := &RecordBatch{}
+	for _, k := range changes.droppedKeys { // first, since what they name may be back
+		b.Records = append(b.Records, Record{Key: k})
+	}
 	if err := e.addQueues(b); err != nil {
 		return nil, false, err
 	}
@@ -99,9 +102,6 @@
 			return nil, false, err
 		}
 	}
-	for _, k := range changes.droppedKeys {
-		b.Records = append(b.Records, Record{Key: k})
-	}
 	for _, m := range e.byID {
 		if m.processedEnds > m.storedEnds {
 			b.storedEnds = append(b.storedEnds, storedEnd{m, m.token, m.processedEnds})
--- a/sched/queues_test.go
+++ b/sched/queues_test.go
@@ -182,3 +182,39 @@
 		}
 	}
 }
+
+// TestRecordsThatComeBackAreStored guards against a machine, a job or a queue whose record is deleted although it is back:
+// it was forgotten and known again between two calls of Flush, and the deletion was stored last. A new leader
+// would not know the machine, and would start its tasks again, or the accepted job.
+func TestRecordsThatComeBackAreStored(t *testing.T) {
+	q := Queue{Name: "q", Service: "s", MaxAttempts: 1}
+	log := storedLog{}
+	e := log.lead(1, []Queue{q})
+	spec := worker("m")
+	e.SetMachines([]Machine{spec}, time.Second)
+	submit := func(now time.Duration) {
+		if err := e.Submit(Job{ID: "00000000000000a1", Queue: "q", Steps: []Step{smallStep(1)}}, now, time.UnixMilli(0), func(error) {}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	submit(time.Second)
+	log.flush(t, e)
+	e.Cancel("00000000000000a1", 2*time.Second, func() {})
+	log.flush(t, e)
+	e.SetMachines(nil, 2*time.Second)
+	now := 2 * time.Minute // the machine is forgotten, and the state of the job is not kept any longer
+	e.Plan(now)
+	e.SetQueues(2, nil) // the queue has no jobs
+	if _, known := e.Machine("m"); known || e.jobs["00000000000000a1"] != nil {
+		t.Fatal("the machine or the job is still known")
+	}
+	e.SetMachines([]Machine{spec}, now)
+	e.SetQueues(3, []Queue{q})
+	submit(now)
+	log.flush(t, e)
+	for _, key := range []string{machineKey("m"), jobKey("00000000000000a1"), queueKey("q")} {
+		if log[key] == nil {
+			t.Errorf("record %s is not stored", key)
+		}
+	}
+}
