Bound the orders to machines that are in flight

Cause: each order of a pass was sent by a goroutine of its own at once, over a connection of its own.

Fix: orders wait in a queue that has at most 512 in flight and 16 for one machine, in turn for all machines that have some. An order that is repeated while it waits is sent once. Starts that wait for a machine that has left one unanswered are not sent, and their tasks go to other machines.

Tests: TestOrdersInFlightAreBounded, TestSilentMachinesDelayNoOthers, TestOrdersKeepTheirOrder (of the new queue; not run on the former code, which has none).

--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -240,6 +240,7 @@
 // repeatedly.
 func (l *leadership) runPlanning(ctx context.Context, group *sync.WaitGroup) {
 	delays := 0
+	starts, stops := newOrderQueue(group), newOrderQueue(group)
 	for ctx.Err() == nil {
 		began := l.clock()
 		select {
@@ -259,7 +260,7 @@
 		} else {
 			delays = 0
 		}
-		l.planOnce(ctx, group)
+		l.planOnce(ctx, group, starts, stops)
 		pause.For(ctx, max(minPlanInterval, planPauseFactor*(l.clock()-now)))
 	}
 }
@@ -267,7 +268,7 @@
 // planOnce makes one planning pass of the engine, refreshes the known daemons and the gauges, and
 // starts goroutines that send the resulting orders and advice requests. It does nothing while the
 // tenure is not held, or when the leader is about to resign.
-func (l *leadership) planOnce(ctx context.Context, group *sync.WaitGroup) {
+func (l *leadership) planOnce(ctx context.Context, group *sync.WaitGroup, starts, stops *orderQueue) {
 	if !l.daemon.tenure.Held() || l.changes.isClosed() {
 		return
 	}
@@ -281,10 +282,18 @@
 	l.daemon.settings.Metrics.LiveJobs.Set(float64(stats.LiveJobs))
 	l.daemon.settings.Metrics.WaitingSteps.Set(float64(stats.WaitingSteps))
 	for _, o := range orders.Stops {
-		group.Go(func() { l.sendStop(ctx, o) })
+		stops.add(ctx, order{key: orderKey{o.Machine.ID, o.Task, o.Run}, send: func() { l.sendStop(ctx, o) }})
 	}
 	for _, o := range orders.Starts {
-		group.Go(func() { l.sendStart(ctx, o) })
+		starts.add(ctx, order{
+			key: orderKey{o.Machine.ID, o.Task, o.Run},
+			send: func() {
+				if l.sendStart(ctx, o) == sched.Unanswered {
+					starts.skipWaiting(o.Machine.ID) // their tasks are placed on other machines
+				}
+			},
+			skip: func() { l.recordStart(o, sched.MachineSilent) },
+		})
 	}
 	for _, a := range adviceRequests {
 		group.Go(func() { l.requestAdvice(ctx, a) })
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -248,8 +248,8 @@
 
 // sendStart sends a start order and hands its outcome to the engine. The order is not sent while the
 // tenure is not held or the lease of the machine is not known. If the machine has seen a higher
-// fencing token, the leader resigns.
-func (l *leadership) sendStart(ctx context.Context, o sched.Start) {
+// fencing token, the leader resigns. It returns the outcome.
+func (l *leadership) sendStart(ctx context.Context, o sched.Start) sched.StartOutcome {
 	l.mu.Lock()
 	leaseEnd, _ := l.engine.GrantLease(o.Machine.ID, l.clock())
 	l.mu.Unlock()
@@ -265,6 +265,15 @@
 	if err != nil {
 		l.logger.Warn().Str("event", "start_failed").Str("task", o.Task).Int64("run", o.Run).Str("machine", o.Machine.ID).Err(err).Send()
 	}
+	l.recordStart(o, outcome)
+	if outcome == sched.RefusedStaleToken {
+		l.daemon.tenure.Resign("a machine has seen a newer leader")
+	}
+	return outcome
+}
+
+// recordStart hands the outcome of a start order to the engine.
+func (l *leadership) recordStart(o sched.Start, outcome sched.StartOutcome) {
 	l.daemon.settings.Metrics.StartOrders.WithLabelValues(string(outcome)).Inc()
 	l.mu.Lock()
 	l.engine.StartAnswered(o, outcome, l.clock())
@@ -272,9 +281,6 @@
 	if outcome != sched.Started {
 		notify(l.planSignal)
 	}
-	if outcome == sched.RefusedStaleToken {
-		l.daemon.tenure.Resign("a machine has seen a newer leader")
-	}
 }
 
 // sendStop sends a stop order and hands its outcome to the engine. It does nothing while the tenure
--- a/sched/types.go
+++ b/sched/types.go
@@ -148,6 +148,7 @@
 	RefusedOther        StartOutcome = "rejected"
 	WrongIncarnation    StartOutcome = "incarnation" // another incarnation of the machine answered
 	NotSent             StartOutcome = "not_sent"
+	MachineSilent       StartOutcome = "silent" // not sent, since the machine has not answered another order
 )
 
 // Start is an order to start a task. Run numbers the starts of the task.
