--- a/sched/progress_test.go
+++ b/sched/progress_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -205,7 +204,7 @@
 		t.Errorf("%d tasks started that may run on the silent machine", len(placed))
 	}
 	if _, ok := f.placedAgain("a", 8*time.Second); !ok {
-		t.Error(fmt.Sprint("no task is started although the lease of the machine has expired"))
+		t.Error("no task is started although the lease of the machine has expired")
 	}
 }
 
