Take a machine's turn out of the queue when its orders are skipped

A machine whose orders were skipped and that got new ones before its turn came was twice in the turns. By reading; the tests of the queue pass, five times with the race detector.

--- a/cell/orders.go
+++ b/cell/orders.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -65,7 +67,8 @@
 func (q *orderQueue) skipWaiting(machine string) {
 	q.mu.Lock()
 	orders := q.waiting[machine]
-	delete(q.waiting, machine) // its turn is passed over
+	delete(q.waiting, machine)
+	q.turns = lo.Without(q.turns, machine)
 	for _, o := range orders {
 		delete(q.known, o.key)
 	}
@@ -82,16 +85,13 @@
 	for busy := 0; q.total < maxOrdersInFlight && busy < len(q.turns); {
 		machine := q.turns[0]
 		q.turns = q.turns[1:]
-		orders := q.waiting[machine]
-		switch {
-		case len(orders) == 0:
-			continue
-		case q.inFlight[machine] >= maxOrdersPerMachine:
+		if q.inFlight[machine] >= maxOrdersPerMachine {
 			q.turns = append(q.turns, machine)
 			busy++
 			continue
 		}
 		busy = 0
+		orders := q.waiting[machine]
 		o := orders[0]
 		delete(q.known, o.key)
 		if len(orders) > 1 {
