--- a/sched/simulation_checks_test.go
+++ b/sched/simulation_checks_test.go
@@ -81,6 +81,7 @@
 		case !known:
 			sim.reportViolation("accepted job %s is not known", id)
 		case cancelled:
+		case sim.jobSpecs[id].Steps[0].Persistent && state != Failed: // checkLastingTasks
 		case !state.final():
 			sim.reportViolation("job %s is still %s", id, state)
 		case state == Completed:
