Play absences beyond the lease in the simulation

Machines stay away for up to 16 s after a drain, and are cut off for up to 20 s while leaders change (case cut off).

--- a/sched/simulation_changes_test.go
+++ b/sched/simulation_changes_test.go
@@ -10,9 +10,9 @@
 )
 
 // changeRates are the probabilities of planned changes and of losses for good: lastingJob for each job, the others per
-// second, drain and loss for each machine. With configChange, the last two machines belong to another service.
+// second, longCutOff (for longer than a lease), drain and loss for each machine. With configChange, the last two machines belong to another service.
 type changeRates struct {
-	lastingJob, drain, loss, configChange float64
+	lastingJob, longCutOff, drain, loss, configChange float64
 }
 
 const (
@@ -60,6 +60,8 @@
 			m := sim.machines[id]
 			switch {
 			case m.lost || sim.now < m.cutOffUntil || m.spec.Draining:
+			case sim.chance(sim.changes.longCutOff / 100):
+				m.cutOffUntil = sim.now + sim.randomDuration(5*time.Second, 20*time.Second)
 			case sim.chance(sim.changes.drain / 100):
 				m.drain(sim.randomDuration(500*time.Millisecond, 6*time.Second))
 			case lost < maxLostMachines && m.spec.Service == firstService && sim.chance(sim.changes.loss/100):
@@ -85,7 +87,11 @@
 			return
 		}
 		m.unlisted = sim.chance(0.3)
-		m.crash(sim.randomDuration(100*time.Millisecond, 4*time.Second))
+		longest := 4 * time.Second
+		if sim.chance(0.2) {
+			longest = 16 * time.Second // beyond the lease, so that a leader forgets the machine
+		}
+		m.crash(sim.randomDuration(100*time.Millisecond, longest))
 	})
 }
 
@@ -262,8 +268,9 @@
 		"drains":  {faultRates{failedRun: 0.02}, changeRates{lastingJob: 0.1, drain: 0.08}},
 		"losses":  {faultRates{failedRun: 0.02, machineCrash: 0.05}, changeRates{lastingJob: 0.1, drain: 0.04, loss: 0.04}},
 		"configs": {faultRates{failedRun: 0.02, leaderCrash: 0.25}, changeRates{lastingJob: 0.05, configChange: 0.5}},
+		"cut off": {faultRates{lostAnswer: 0.03, machineCutOff: 0.02, leaderCrash: 0.3, failedRun: 0.02}, changeRates{longCutOff: 0.05}},
 		"all": {faultRates{lateOrder: 0.03, lostAnswer: 0.05, machineCrash: 0.03, machineCutOff: 0.03, leaderCrash: 0.15, failedRun: 0.02},
-			changeRates{lastingJob: 0.05, drain: 0.04, loss: 0.02, configChange: 0.3}},
+			changeRates{lastingJob: 0.05, longCutOff: 0.01, drain: 0.04, loss: 0.02, configChange: 0.3}},
 	}
 	for name, r := range cases {
 		for _, seed := range seedsToSimulate() {
