--- a/cell/interfaces.go
+++ b/cell/interfaces.go
@@ -51,8 +51,8 @@
 
 // Log is the platform's append-only log. Errors are of these kinds: log_unavailable (nothing was
 // done), append_unknown (the append may be stored, now or later), bad_input (the log does not take
-// these entries, now or later), stale_epoch and conflict (see Fence), and not_found (the requested entries have expired; End of the page is then the offset of
-// the first entry that is left).
+// these entries, now or later), stale_epoch and conflict (see Fence), and not_found (the requested
+// entries have expired; End of the page is then the offset of the first entry that is left).
 type Log interface {
 	Append(ctx context.Context, s Stream, entries []Entry, f Fence) error
 	// Read returns entries from an offset on. It waits up to wait if there are none yet.
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -120,8 +120,9 @@
 // log has refused the record; the job then never runs. An error of Submit means that
 // the job was not accepted and never runs; its kind is BadInput, NotReady (the queue is
 // not known), Overloaded (too many jobs) or Impossible (no machine is large enough). It
-// is BadInput also for a job whose record would exceed Config.MaxRecordBytes. A job whose id is known is not accepted again; done is then called when the first one is
-// stored, or immediately if it is. wall is the wall clock time at now.
+// is BadInput also for a job whose record would exceed Config.MaxRecordBytes. A job whose
+// id is known is not accepted again; done is then called when the first one is stored, or
+// immediately if it is. wall is the wall clock time at now.
 func (e *Engine) Submit(spec Job, now time.Duration, wall time.Time, done func(error)) error {
 	if j := e.jobs[spec.ID]; j != nil {
 		if j.stored {
