--- a/cell/interfaces.go
+++ b/cell/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/sched"
@@ -94,15 +95,31 @@
 	Version int64
 	Routes  []Route
 	Limits  Limits
+	// Tenants is nil if the configuration has no list of tenants; callers then need no keys.
+	Tenants []Tenant
 }
 
 // Route assigns requests of callers to a queue, by host name and path prefix.
 type Route struct {
 	Host       string
 	PathPrefix string
+	Anonymous  bool // callers need no key, also if the configuration has tenants
 	Queue      sched.Queue
 }
 
+// Tenant is a tenant with the keys by which its callers are known.
+type Tenant struct {
+	sched.Tenant
+	Keys []KeyHash
+}
+
+// KeyHash is the SHA-256 hash of a key. The keys themselves are not kept, so that neither a dump of the
+// process nor its logs show them.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
 // Limits bounds the requests of callers. Package platform applies only MaxBodyBytes; 0 stands for its
 // default.
 type Limits struct {
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
 	"github.com/sassafraslb/sassafraslb/internal/pause"
@@ -134,10 +135,11 @@
 	}
 }
 
-// setConfig hands the queues of a configuration to the engine.
+// setConfig hands the tenants and queues of a configuration to the engine.
 func (l *leadership) setConfig(c *Config) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.engine.SetTenants(c.Version, lo.Map(c.Tenants, func(t Tenant, _ int) sched.Tenant { return t.Tenant }))
 	queues := make([]sched.Queue, 0, len(c.Routes))
 	for _, r := range c.Routes {
 		queues = append(queues, r.Queue)
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -55,7 +55,8 @@
 	cfg           Config
 	log           zerolog.Logger
 	queues        map[string]*Queue
-	storedQueues  map[string]storedQueue // by name
+	storedQueues  map[string]storedQueue  // by name
+	tenants       map[string]*tenantState // by name; the empty one for jobs without a tenant
 	configVersion int64
 	machines      map[string]*machineState
 	byID          []*machineState // all machines, in the order of their ids
@@ -100,7 +101,7 @@
 	}
 	e := &Engine{
 		cfg: cfg, log: cfg.Logger, queues: make(map[string]*Queue), storedQueues: make(map[string]storedQueue), machines: make(map[string]*machineState),
-		jobs: make(map[string]*job), termStart: now, estimator: newRunTimeEstimator(),
+		jobs: make(map[string]*job), tenants: make(map[string]*tenantState), termStart: now, estimator: newRunTimeEstimator(),
 		allowedShare: make(map[string]float64),
 	}
 	e.stats.Refusals, e.stats.Ends = make(map[string]int64), make(map[EndKind]int64)
@@ -156,6 +157,7 @@
 			size, len(spec.Steps), len(spec.Payload), e.cfg.MaxRecordBytes)
 	}
 	j := newJob(spec, q)
+	j.tenant = e.tenant(spec.Tenant)
 	j.newRecord = record
 	j.setTimes(now, wall, &e.estimator)
 	j.onStored = append(j.onStored, done)
--- a/sched/job.go
+++ b/sched/job.go
@@ -12,6 +12,7 @@
 type job struct {
 	spec            Job
 	queue           *Queue
+	tenant          *tenantState // set by Submit and Restore
 	occurrences     []*occurrence
 	doneOccurrences int
 	state           JobState
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -304,6 +304,7 @@
 		e.storedQueues[q.Name] = storedQueue{} // to be stored with the next Flush
 	}
 	j := newJob(*rec.Spec, q)
+	j.tenant = e.tenant(rec.Spec.Tenant)
 	j.stored, j.restored = true, true
 	j.setTimes(now, wall, &e.estimator)
 	e.jobs[id] = j
--- a/sched/types.go
+++ b/sched/types.go
@@ -17,6 +17,7 @@
 	FirstDue int64         `cbor:"6,keyasint,omitempty"` // Unix ms at which occurrence 0 is due, for periodic jobs
 	Interval time.Duration `cbor:"7,keyasint,omitempty"` // between occurrences
 	Repeat   int           `cbor:"8,keyasint,omitempty"` // number of occurrences; 0 means one that is due on arrival
+	Tenant   string        `cbor:"9,keyasint,omitempty"` // whose job it is; empty if the caller needed no key
 }
 
 // Occurrences returns how many times the steps run, at least 1.
@@ -57,6 +58,17 @@
 	Advisor *Advisor // nil if the queue may use all machines of its service
 }
 
+// Tenant is a customer whose jobs share the machines with those of other tenants.
+type Tenant struct {
+	Name string
+	// Weight is the tenant's share of the machines when all are in use, relative to the weights of
+	// the others. It is also the number of jobs a second that the tenant may expect to be served.
+	Weight float64
+	// Cap bounds what the tenant's tasks hold on all machines together. A resource that is 0 has
+	// no bound.
+	Cap machine.Resources
+}
+
 // Advisor describes the advisor of a queue. It decides on request which machines a
 // step may use, and issues a ticket for each of them that a start has to present.
 type Advisor struct {
