Keep the tenant in the record of an ended job; add error kind unauthorized

After a change of the leader an ended job had no tenant any more, so a leader could not have told callers of other tenants that there is no such job. The record has a new field, 4; records of ended jobs that lack it are read as those of jobs without a tenant. The error kind is for calls without a key of a tenant: 401, not run, never to be repeated.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -16,6 +16,7 @@
 // The error kinds.
 const (
 	BadInput        Kind = "bad_input"           // the request is malformed or too large
+	Unauthorized    Kind = "unauthorized"        // the call carries no key, or one that is not known
 	NotFound        Kind = "not_found"           // the named object does not exist
 	Conflict        Kind = "conflict"            // contradicts what is already recorded
 	QuotaExceeded   Kind = "quota_exceeded"      // over a team's quota
@@ -68,6 +69,7 @@
 // Table maps every Kind to its Response. docs/errors.md shows the same rows to callers.
 var Table = map[Kind]Response{
 	BadInput:        {400, NotRun, RetryNever},
+	Unauthorized:    {401, NotRun, RetryNever},
 	NotFound:        {404, NotRun, RetryNever},
 	Conflict:        {409, NotRun, RetryNever},
 	QuotaExceeded:   {429, NotRun, RetryBackoff},
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -28,6 +28,9 @@
 	Spec  *Job     `cbor:"1,keyasint,omitempty"`
 	State JobState `cbor:"2,keyasint,omitempty"`
 	Ended int64    `cbor:"3,keyasint,omitempty"` // Unix ms
+	// Tenant is set only for an ended job; Spec holds that of others. Records of ended jobs that builds
+	// without tenants have stored lack it.
+	Tenant string `cbor:"4,keyasint,omitempty"`
 }
 
 // machineRecord is the stored form of a machine.
@@ -92,7 +95,7 @@
 		}
 	}
 	for _, j := range changes.endedJobs {
-		if err := b.add(jobKey(j.spec.ID), jobRecord{State: j.state, Ended: wall.UnixMilli()}); err != nil {
+		if err := b.add(jobKey(j.spec.ID), jobRecord{State: j.state, Ended: wall.UnixMilli(), Tenant: j.spec.Tenant}); err != nil {
 			return nil, false, err
 		}
 		b.dropProgress(j)
@@ -279,7 +282,7 @@
 		Int("machines", len(e.machines)).Send()
 }
 
-// restoreJob adds a stored job. An ended one keeps only its state. A job whose queue is
+// restoreJob adds a stored job. An ended one keeps only its state and its tenant. A job whose queue is
 // neither in the configuration nor stored gets a queue without a service, so that its
 // tasks wait until SetQueues has the queue.
 func (e *Engine) restoreJob(id string, data []byte, now time.Duration, wall time.Time) error {
@@ -288,7 +291,7 @@
 		return errors.Wrap(err, "decode job")
 	}
 	if rec.Spec == nil {
-		e.jobs[id] = &job{spec: Job{ID: id}, state: rec.State, stored: true, finalStored: true, begun: true}
+		e.jobs[id] = &job{spec: Job{ID: id, Tenant: rec.Tenant}, state: rec.State, stored: true, finalStored: true, begun: true}
 		e.endedJobs = append(e.endedJobs, endedJob{id, now - clampSpan(spanOfMillis(wall.UnixMilli()-rec.Ended))})
 		return nil
 	}
--- a/sched/tenants.go
+++ b/sched/tenants.go
@@ -33,3 +33,13 @@
 	}
 	return t
 }
+
+// JobTenant returns the tenant whose job it is, empty for a job without a tenant, and false if the job is
+// not known.
+func (e *Engine) JobTenant(id string) (string, bool) {
+	j := e.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.spec.Tenant, true
+}
