Quote nothing of the configuration in logs

The configuration holds the keys of tenants. The errors of package json quote numbers and characters that they do not accept, those of the HTTP client quote an answer that is no HTTP, and net/http writes to the standard logger what comes after the end of an answer.

--- a/cmd/sassafraslb-cell/main.go
+++ b/cmd/sassafraslb-cell/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"os"
 	"runtime/debug"
 
@@ -49,6 +50,7 @@
 // run runs the daemon until SIGTERM or SIGINT and returns the exit code, 1 if the daemon cannot start or
 // fails. It serves metrics at metricsAddress unless that is empty.
 func run(metricsAddress string) int {
+	log.SetOutput(platform.NewStandardLog(os.Stderr))
 	signals := platform.NotifySignals()
 	settings, err := platform.LoadSettings()
 	if err != nil {
