Serve callers by the keys of tenants, and refuse keys that may be removed

If the configuration has tenants, a call on a route that is not anonymous now needs a key of a tenant in X-Credential: without one, or with an unknown one, it gets 401 at once, from the head of the request. Its job belongs to that tenant; for callers of others it does not exist (410), also after it has ended, and its id is taken (409, definite). Before, anybody was served. Deployments without tenants are served as before.

With strictRevoke, a daemon that was cut off from the log would have gone on serving a removed key. It now serves calls with keys only while it has a permit, which a read of the configuration grants from its start on for 0.96 times revokeMs. Such a read shows every version that the log had acknowledged when it began, so a daemon that lacks a version has no permit later than revokeMs after that. Reads then wait for at most a tenth of revokeMs, so that lost reads do not end the permit while the log works; the times are beside permitReadDivisor. A version that cannot be decoded stops the renewal until a newer one is applied. Refusals are 503, keys_not_fresh.

The calls for jobs to the leader carry the tenant of the caller. The debug line about an ended connection between daemons quotes nothing of what was received.

--- a/cell/changes_test.go
+++ b/cell/changes_test.go
@@ -31,7 +31,7 @@
 	submit := func(id string, timeout time.Duration) error {
 		limited, stop := context.WithTimeout(context.Background(), timeout)
 		defer stop()
-		return d.Submit(limited, &sched.Job{ID: id, Queue: "q", Steps: []sched.Step{{Count: 1, Need: machine.Resources{CPUMilli: 1}}}})
+		return d.Submit(limited, Caller{}, &sched.Job{ID: id, Queue: "q", Steps: []sched.Step{{Count: 1, Need: machine.Resources{CPUMilli: 1}}}})
 	}
 	first := make(chan error, 1)
 	go func() { first <- submit("0000000000000001", 3*time.Second) }()
--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/neterr"
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
@@ -34,6 +35,10 @@
 	Clock          Clock        // default HostClock
 	Engine         sched.Config // Token and Logger are set for each term
 	MaxAppendBytes int          // largest append that the log accepts
+	// StrictRevoke means that no call is served with a key later than RevokeWithin after the log has
+	// acknowledged a configuration without it, also by a daemon that is cut off; see freshness.
+	StrictRevoke bool
+	RevokeWithin time.Duration // 0 if there is no bound
 	// MemoryLimited means that the Go runtime has a soft memory limit, so that the leader may run
 	// the garbage collector less often.
 	MemoryLimited bool
@@ -68,6 +73,7 @@
 	platformLog *routedLog
 	tenure      *Tenure
 	config      atomic.Pointer[Config]
+	freshness   *freshness                 // of config
 	leadership  atomic.Pointer[leadership] // set while this daemon leads
 
 	mu               sync.Mutex
@@ -87,6 +93,7 @@
 		settings.Metrics = NewMetrics()
 	}
 	d := &Daemon{settings: settings, logger: settings.Logger, clock: settings.Clock, conns: newConnPool(), newConfig: make(chan struct{}, 1)}
+	d.freshness = newFreshness(&settings)
 	d.platformLog = &routedLog{direct: settings.Log, conns: d.conns, clock: settings.Clock, logger: settings.Logger}
 	d.platformLog.onAppendCopy = func() { settings.Metrics.Retries.WithLabelValues("append_copy").Inc() }
 	d.platformLog.onOnlyRelayed = func() { d.handOver("the log answers other daemons but not this one", relayedChangesLimit) }
@@ -110,7 +117,7 @@
 		return errors.Wrap(err, "register calls")
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Log: func(err error) {
-		d.logger.Debug().Str("event", "daemon_connection_ended").Err(err).Send()
+		d.logger.Debug().Str("event", "daemon_connection_ended").Err(neterr.WithoutContent(err)).Send()
 	}})
 	var group sync.WaitGroup
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
@@ -121,6 +128,7 @@
 		}
 	})
 	group.Go(func() { d.watchConfig(ctx) })
+	group.Go(func() { d.watchPermit(ctx) })
 	group.Go(func() { d.keepRegistered(ctx) })
 	d.tenure.Run(ctx)
 	stopServing()
@@ -148,15 +156,16 @@
 // watchConfig applies new configurations until ctx ends.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	w := &watcher{
-		log: d.platformLog, stream: StreamConfig, readWait: configReadWait, logger: d.logger,
-		reset: func() {}, done: func() {}, apply: d.applyConfig,
+		log: d.platformLog, stream: StreamConfig, readWait: configWait(&d.settings), logger: d.logger,
+		reset: func() {}, done: func() {}, apply: d.applyConfig, clock: d.clock, current: d.freshness.prove,
 	}
 	w.run(ctx)
 }
 
 // applyConfig puts a configuration in force if it is newer than the active one. It ignores entries of
 // other keys, and entries without a value or that cannot be decoded, so a deletion leaves the active
-// configuration in force.
+// configuration in force. One that cannot be decoded may remove a key, so it stops the renewal of the permit
+// to serve keys until a newer version is applied; an older one in its place does not undo it.
 func (d *Daemon) applyConfig(e Entry) {
 	if e.Key != d.settings.ConfigKey || len(e.Value) == 0 {
 		return
@@ -164,14 +173,17 @@
 	c, err := d.settings.Decoder.Config(e.Value)
 	if err != nil {
 		d.logger.Error().Str("event", "config_unreadable").Int64("offset", e.Offset).Err(err).Send()
+		d.freshness.setUnreadable(true)
 		return
 	}
 	old := d.config.Load()
 	if old != nil && c.Version <= old.Version {
 		return
 	}
+	c.indexKeys(d.logger)
 	d.config.Store(c)
-	ev := d.logger.Info().Str("event", "config_applied").Int64("version", c.Version).Int64("offset", e.Offset).Int("routes", len(c.Routes))
+	d.freshness.setUnreadable(false)
+	ev := d.logger.Info().Str("event", "config_applied").Int64("version", c.Version).Int64("offset", e.Offset).Int("routes", len(c.Routes)).Int("tenants", len(c.Tenants))
 	if old != nil {
 		ev.Int64("replaced", old.Version)
 	}
--- a/cell/interfaces.go
+++ b/cell/interfaces.go
@@ -97,6 +97,8 @@
 	Limits  Limits
 	// Tenants is nil if the configuration has no list of tenants; callers then need no keys.
 	Tenants []Tenant
+	// tenantByKey is set by indexKeys.
+	tenantByKey map[KeyHash]string
 }
 
 // Route assigns requests of callers to a queue, by host name and path prefix.
--- a/cell/leadercalls.go
+++ b/cell/leadercalls.go
@@ -31,27 +31,29 @@
 // on no way.
 const reasonLogLost = "log_lost"
 
-// Submit sends a job to the leader and returns nil once it is stored. An error of kind
+// Submit sends a job of a caller to the leader and returns nil once it is stored. An error of kind
 // outcome_unknown means that the job may be stored; any other error means that it is not stored and
-// never runs. The deadline of ctx is taken for the end of the caller's time: a caller that cannot
+// never runs. It is of kind conflict if the id is that of a job of another tenant. The deadline of ctx is taken for the end of the caller's time: a caller that cannot
 // return within it waits here, see patience.
-func (d *Daemon) Submit(ctx context.Context, job *sched.Job) error {
-	_, err := d.callLeader(ctx, rpcSubmit, &call{Job: job}, patience{maxWait: submitLeaderWait, holdLast: true})
+func (d *Daemon) Submit(ctx context.Context, who Caller, job *sched.Job) error {
+	job.Tenant = who.Tenant
+	_, err := d.callLeader(ctx, rpcSubmit, who.sign(&call{Job: job}), patience{maxWait: submitLeaderWait, holdLast: true})
 	return err
 }
 
-// State returns the state of a job, and false if there is no such job.
-func (d *Daemon) State(ctx context.Context, id string) (sched.JobState, bool, error) {
-	out, err := d.callLeader(ctx, rpcState, &call{ID: id}, patience{maxWait: queryLeaderWait})
+// State returns the state of a job, and false if there is no such job for the caller.
+func (d *Daemon) State(ctx context.Context, who Caller, id string) (sched.JobState, bool, error) {
+	out, err := d.callLeader(ctx, rpcState, who.sign(&call{ID: id}), patience{maxWait: queryLeaderWait})
 	if err != nil {
 		return "", false, err
 	}
 	return out.State, out.Known, nil
 }
 
-// Cancel cancels a job and returns once that is stored. It reports false if there is no such job.
-func (d *Daemon) Cancel(ctx context.Context, id string) (bool, error) {
-	out, err := d.callLeader(ctx, rpcCancel, &call{ID: id}, patience{maxWait: queryLeaderWait})
+// Cancel cancels a job and returns once that is stored. It reports false if there is no such job for the
+// caller.
+func (d *Daemon) Cancel(ctx context.Context, who Caller, id string) (bool, error) {
+	out, err := d.callLeader(ctx, rpcCancel, who.sign(&call{ID: id}), patience{maxWait: queryLeaderWait})
 	if err != nil {
 		return false, err
 	}
@@ -194,7 +196,7 @@
 		return nil, errLeaderLeaves()
 	}
 	defer l.changes.leave()
-	return &reply{}, l.submit(ctx, c.Job)
+	return &reply{}, l.submit(ctx, c.caller(), c.Job)
 }
 
 func (d *Daemon) handleState(_ context.Context, c *call) (*reply, error) {
@@ -202,7 +204,7 @@
 	if err != nil {
 		return nil, err
 	}
-	state, known := l.jobState(c.ID)
+	state, known := l.jobState(c.caller(), c.ID)
 	return &reply{State: state, Known: known}, nil
 }
 
@@ -215,7 +217,7 @@
 		return nil, errLeaderLeaves()
 	}
 	defer l.changes.leave()
-	known, err := l.cancel(ctx, c.ID)
+	known, err := l.cancel(ctx, c.caller(), c.ID)
 	return &reply{Known: known}, err
 }
 
--- a/cell/leadercalls_test.go
+++ b/cell/leadercalls_test.go
@@ -65,7 +65,7 @@
 	_, d := startAssumedLeader(t)
 	for _, deadline := range []time.Duration{leaderRetryWait * 3 / 2, submitLeaderWait / 2, 2 * submitLeaderWait} {
 		ctx, cancel := context.WithTimeout(context.Background(), deadline)
-		err := d.Submit(ctx, &sched.Job{ID: "0000000000000001"})
+		err := d.Submit(ctx, Caller{}, &sched.Job{ID: "0000000000000001"})
 		cancel()
 		if errkind.Of(err) != errkind.NotOwner {
 			t.Errorf("deadline of %v: %v, want not_owner", deadline, err)
--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -157,10 +157,13 @@
 }
 
 // submit accepts a job and returns once it is stored.
-func (l *leadership) submit(ctx context.Context, job *sched.Job) error {
+func (l *leadership) submit(ctx context.Context, who Caller, job *sched.Job) error {
 	stored := make(chan error, 1)
 	l.mu.Lock()
-	err := l.engine.Submit(*job, l.clock(), time.Now(), func(err error) { stored <- err })
+	err := errJobIDTaken
+	if l.isFor(who, job.ID) {
+		err = l.engine.Submit(*job, l.clock(), time.Now(), func(err error) { stored <- err })
+	}
 	l.mu.Unlock()
 	if err != nil {
 		l.logger.Info().Str("event", "job_refused").Str("job", job.ID).Str("queue", job.Queue).Err(err).Send()
@@ -206,17 +209,21 @@
 	return errkind.New(errkind.AppendUnknown, "not_stored_in_time", "the record is not stored yet")
 }
 
-func (l *leadership) jobState(id string) (sched.JobState, bool) {
+func (l *leadership) jobState(who Caller, id string) (sched.JobState, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.isFor(who, id) {
+		return "", false
+	}
 	return l.engine.State(id)
 }
 
-// cancel cancels a job and returns once that is stored. It reports false if there is no such job.
-func (l *leadership) cancel(ctx context.Context, id string) (bool, error) {
+// cancel cancels a job and returns once that is stored. It reports false if there is no such job for the
+// caller.
+func (l *leadership) cancel(ctx context.Context, who Caller, id string) (bool, error) {
 	stored := make(chan struct{})
 	l.mu.Lock()
-	known := l.engine.Cancel(id, l.clock(), func() { close(stored) })
+	known := l.isFor(who, id) && l.engine.Cancel(id, l.clock(), func() { close(stored) })
 	l.mu.Unlock()
 	if !known {
 		return false, nil
--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -10,6 +10,8 @@
 	Requests          *prometheus.CounterVec   // by call and status
 	RequestSeconds    *prometheus.HistogramVec // seconds, by call
 	Refusals          *prometheus.CounterVec   // by reason
+	KeyRefusals       *prometheus.CounterVec   // by reason
+	ConfigProofAge    prometheus.Gauge         // seconds
 	StartOrders       *prometheus.CounterVec   // by outcome
 	Retries           *prometheus.CounterVec   // by the kind of call that was repeated
 	StartOrderSeconds prometheus.Histogram     // from sending to the answer
@@ -27,6 +29,8 @@
 		Registry:       prometheus.NewRegistry(),
 		Requests:       counter("sassafraslb_cell_requests_total", "Requests of callers.", "call", "status"),
 		Refusals:       counter("sassafraslb_cell_refusals_total", "Requests that were refused, by reason.", "reason"),
+		KeyRefusals:    counter("sassafraslb_cell_key_refusals_total", "Requests that were refused because of their key, by reason.", "reason"),
+		ConfigProofAge: gauge("sassafraslb_cell_config_proof_age_seconds", "Time since the start of the last read that proved the configuration current."),
 		StartOrders:    counter("sassafraslb_cell_start_orders_total", "Start orders, by outcome.", "outcome"),
 		Retries:        counter("sassafraslb_cell_retries_total", "Repeated calls, by what was repeated.", "what"),
 		Appends:        counter("sassafraslb_cell_log_appends_total", "Appends of job state, by outcome.", "outcome"),
@@ -40,7 +44,7 @@
 		WaitingSteps:      gauge("sassafraslb_cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
 		Leading:           gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
 	}
-	m.Registry.MustRegister(m.Requests, m.Refusals, m.StartOrders, m.Retries, m.Appends, m.AdviceRequests, m.RequestSeconds, m.StartOrderSeconds,
+	m.Registry.MustRegister(m.Requests, m.Refusals, m.KeyRefusals, m.ConfigProofAge, m.StartOrders, m.Retries, m.Appends, m.AdviceRequests, m.RequestSeconds, m.StartOrderSeconds,
 		m.AppendSeconds, m.LiveJobs, m.WaitingSteps, m.Leading)
 	return m
 }
--- a/cell/patience.go
+++ b/cell/patience.go
@@ -75,14 +75,15 @@
 // not answered, and left is the time that the caller has. While the log is lost, jobs with a long
 // objective wait longer: they lose nothing, and their callers retry after those of short jobs when an
 // outage is over. The wait then also grows with the outage, since callers have few attempts and an
-// outage that has lasted for some seconds may last as long again. No caller is told to return when it
+// outage that has lasted for some seconds may last as long again. The same applies to keys that are not
+// fresh, which have the same cause unless a configuration cannot be read. No caller is told to return when it
 // has no time left for an attempt, if a wait of minRetrySeconds avoids that.
 func RetryAfter(err error, objective, outage, left time.Duration) int {
 	seconds := minRetrySeconds
 	switch reason := errkind.ReasonOf(err); {
 	case errkind.Of(err) == errkind.Overloaded:
 		seconds = backlogFullRetrySeconds
-	case reason == reasonTenureOver || reason == reasonLogLost:
+	case reason == reasonTenureOver || reason == reasonLogLost || reason == reasonKeysNotFresh:
 		seconds = min(int(max(objective/objectiveDivisor, outage)/time.Second), maxRetrySeconds)
 	}
 	return max(min(seconds, int((left-minAttemptTime)/time.Second)), minRetrySeconds)
--- a/cell/patience_test.go
+++ b/cell/patience_test.go
@@ -131,3 +131,13 @@
 		t.Error("a status query does not wait during a change of the leader, or waits while the log is lost")
 	}
 }
+
+// TestRetryWhileKeysAreNotFresh guards against callers who use up their attempts during an outage that makes keys not
+// fresh, and against ones that wait for long although another daemon can serve them at once.
+func TestRetryWhileKeysAreNotFresh(t *testing.T) {
+	for outage, want := range map[time.Duration]int{0: minRetrySeconds, 2 * time.Second: 2, time.Minute: maxRetrySeconds} {
+		if s := RetryAfter(ErrKeysNotFresh(), 0, outage, noDeadline); s != want {
+			t.Errorf("outage of %v: %d s, want %d s", outage, s, want)
+		}
+	}
+}
--- a/cell/successor_test.go
+++ b/cell/successor_test.go
@@ -41,7 +41,7 @@
 	d, takeLeadership := newUnresponsiveLeader(t)
 	done := make(chan error, 1)
 	go func() {
-		_, _, err := d.State(context.Background(), "0000000000000001")
+		_, _, err := d.State(context.Background(), Caller{}, "0000000000000001")
 		done <- err
 	}()
 	time.Sleep(deliveryTime)
@@ -62,13 +62,13 @@
 	d, takeLeadership := newUnresponsiveLeader(t)
 	done := make(chan error, 1)
 	job := &sched.Job{ID: "0000000000000001"} // a job without steps is refused
-	go func() { done <- d.Submit(context.Background(), job) }()
+	go func() { done <- d.Submit(context.Background(), Caller{}, job) }()
 	time.Sleep(deliveryTime)
 	takeLeadership()
 	if err := <-done; errkind.Of(err) != errkind.OutcomeUnknown {
 		t.Errorf("got %v, want %s: the former leader may have stored the job", err, errkind.OutcomeUnknown)
 	}
-	if err := d.Submit(context.Background(), job); errkind.Of(err) != errkind.BadInput {
+	if err := d.Submit(context.Background(), Caller{}, job); errkind.Of(err) != errkind.BadInput {
 		t.Errorf("a second submission got %v, want %s", err, errkind.BadInput)
 	}
 }
@@ -85,7 +85,7 @@
 	leader.tenure.mu.Lock()
 	leader.tenure.validUntil = HostClock() + time.Minute
 	leader.tenure.mu.Unlock()
-	if _, known, err := follower.State(context.Background(), "0000000000000001"); err != nil || known {
+	if _, known, err := follower.State(context.Background(), Caller{}, "0000000000000001"); err != nil || known {
 		t.Errorf("state of an unknown job: %v, %v, want not known", known, err)
 	}
 }
--- a/cell/watch.go
+++ b/cell/watch.go
@@ -24,12 +24,17 @@
 	reset func()
 	apply func(e Entry)
 	done  func()
+	// current, if set, is called with the start of each answered read, on clock, after which all entries
+	// that the log has acknowledged before that start are applied.
+	current func(began time.Duration)
+	clock   Clock // needed if current is set
 }
 
 // run follows the stream until ctx ends.
 func (w *watcher) run(ctx context.Context) {
 	nextOffset := int64(-1)
 	for ctx.Err() == nil {
+		began := w.now()
 		if nextOffset < 0 {
 			page, ok := readAllNewest(ctx, w.log, w.stream, w.logger)
 			if !ok {
@@ -38,6 +43,7 @@
 			w.reset()
 			w.applyPage(ctx, page)
 			nextOffset = page.End // the pages are not one snapshot: later pages may hold newer entries
+			w.confirm(began)
 			continue
 		}
 		page, err := w.read(ctx, nextOffset)
@@ -54,6 +60,32 @@
 		for _, e := range page.Entries {
 			nextOffset = max(nextOffset, e.Offset+1)
 		}
+		switch {
+		case len(page.Entries) > 0 && nextOffset < page.End: // there are more
+		case len(page.Entries) == 0 && page.End < nextOffset && w.current != nil:
+			// The log has lost entries, so new ones may be stored before nextOffset.
+			w.logger.Warn().Str("event", "stream_shortened").Str("stream", string(w.stream)).Int64("offset", nextOffset).
+				Int64("end", page.End).Send()
+			nextOffset = -1
+			pause.For(ctx, logRetry)
+		default:
+			w.confirm(began)
+		}
+	}
+}
+
+// now returns the time on clock, 0 if it is not needed.
+func (w *watcher) now() time.Duration {
+	if w.current == nil {
+		return 0
+	}
+	return w.clock()
+}
+
+// confirm calls current.
+func (w *watcher) confirm(began time.Duration) {
+	if w.current != nil {
+		w.current(began)
 	}
 }
 
--- a/cell/wire.go
+++ b/cell/wire.go
@@ -41,6 +41,9 @@
 	// LogRoundTripMicros is the sender's least round trip to the log, in microseconds, 0 if not known.
 	LogRoundTripMicros int64 `cbor:"10,keyasint,omitempty"`
 	Leaving            bool  `cbor:"11,keyasint,omitempty"` // the sender is about to stop
+	// Tenant and AnyTenant are those of the Caller for whom a job is submitted, read or cancelled.
+	Tenant    string `cbor:"12,keyasint,omitempty"`
+	AnyTenant bool   `cbor:"13,keyasint,omitempty"`
 }
 
 // logCall is a call to the log that one daemon relays for another. Kind is "append", "read" or
