Hold each tenant to its cap

A tenant could run as much as the machines take, whatever cap its configuration named. Now no start is ordered that brings what the tenant holds above the cap, per resource. A step without room is passed over before the search for machines and has no placement, reservation or advice request; it has no back-off, so the next pass with room starts it. A gang starts whole or not at all; once its attempt has begun its members are counted whole and always allowed, so a lowered cap or another step cannot leave it incomplete. Lowering a cap stops nothing.

Callers see: a job with a task or a gang above the cap gets quota_exceeded (429), reason task_exceeds_cap or gang_exceeds_cap, since it could never start. Operators see step_waits with tenant_at_cap, or cap_too_low if the cap was lowered below what an accepted job needs. Weights and caps out of range are brought into range and logged; an entry without a name is left out, since its cap would hold for the jobs without a tenant.

After a takeover the account adds an upper bound of the runs that are not known. The runs of jobs that had ended under the former leader were in no record, so their final record now names what they hold (only for jobs of tenants).

The first step of a tenant without room claims room from less urgent ones.

TestCapsHoldUnderFaults plays random courses and checks starts, account and waits against what the fake machines run: 350 courses by default.

--- a/sched/engine.go
+++ b/sched/engine.go
@@ -57,7 +57,10 @@
 	queues        map[string]*Queue
 	storedQueues  map[string]storedQueue  // by name
 	tenants       map[string]*tenantState // by name; the empty one for jobs without a tenant
-	formerTasks   []*task                 // tasks that may run on machines that did not answer a former leader
+	anyCap        bool                    // a tenant has a cap
+	former        formerUsage
+	formerCounted bool // a tenant may have usage that former leaders caused
+	stepsAtCap    int  // steps that waited for the cap of their tenant in the last pass
 	configVersion int64
 	machines      map[string]*machineState
 	byID          []*machineState // all machines, in the order of their ids
@@ -86,7 +89,9 @@
 	Refusals                                       map[string]int64 // starts with another outcome than Started, by outcome
 	Ends                                           map[EndKind]int64
 	LiveJobs, WaitingSteps, Machines               int
-	Searches                                       int64 // for free capacity: one for each step that a pass tries to place
+	StepsAtCap                                     int           // waiting steps that the cap of their tenant held up in the last pass
+	Tenants                                        []TenantUsage // of the tenants with a cap
+	Searches                                       int64         // for free capacity: one for each step that a pass tries to place
 }
 
 // Orders are the orders that a pass of Plan wants sent.
@@ -115,13 +120,15 @@
 func (e *Engine) Stats() Stats {
 	s := e.stats
 	s.LiveJobs, s.WaitingSteps, s.Machines = len(e.liveJobs), len(e.waitingSteps), len(e.machines)
+	s.StepsAtCap, s.Tenants = e.stepsAtCap, e.tenantUsages()
 	return s
 }
 
 // Submit accepts a job. done is called when its record is stored, or with an error when the
 // log has refused the record; the job then never runs. An error of Submit means that
 // the job was not accepted and never runs; its kind is BadInput, NotReady (the queue is
-// not known), Overloaded (too many jobs) or Impossible (no machine is large enough). It
+// not known), Overloaded (too many jobs), Impossible (no machine is large enough) or
+// QuotaExceeded (a task or a gang needs more than the cap of its tenant). It
 // is BadInput also for a job whose record would exceed Config.MaxRecordBytes. A job whose
 // id is known is not accepted again; done is then called when the first one is stored, or
 // immediately if it is. wall is the wall clock time at now.
@@ -148,6 +155,9 @@
 	if err := e.rejectOversized(&spec, q); err != nil {
 		return err
 	}
+	if err := e.rejectAboveCap(&spec); err != nil {
+		return err
+	}
 	record, err := encodeRecord(jobKey(spec.ID), jobRecord{Spec: &spec})
 	if err != nil {
 		return err
--- a/sched/job.go
+++ b/sched/job.go
@@ -50,7 +50,6 @@
 	doneTasks      int
 	advice         advice
 	attempt        gangAttempt
-	heldRuns       int           // runs of its tasks
 	chainTime      time.Duration // expected run time of the longest chain of dependent steps that begins here
 	urgency        urgency       // in the current pass
 	noStartBefore  time.Duration // set after a refused start or an aborted gang
@@ -58,6 +57,7 @@
 	waitLoggedAt   time.Duration // when its wait was last logged
 	noSearchBefore time.Duration // no search for free capacity before; reset by an advisor's answer or the end of a run
 	reservedSlots  []slot        // reserved by the last search, all from the expected start on
+	heldRuns       int           // runs of its tasks
 }
 
 // task is one unit of work.
@@ -81,14 +81,14 @@
 type gangAttempt struct {
 	runNumber int64 // of the runs of all members; 0 if no attempt is active
 	startedAt time.Duration
-	aborting  bool          // the members are ending or being stopped
-	abortedAt time.Duration // when aborting began
+	aborting  bool // the members are ending or being stopped
+	// reservedMembers is the number of members without a run that count as held by the tenant.
+	reservedMembers int32
+	abortedAt       time.Duration // when aborting began
 	// placement has the machine of each member. It holds their capacity until
 	// placementUntil while tickets are requested, before the attempt starts.
 	placement      []*machineState
 	placementUntil time.Duration
-	// reservedMembers is the number of members without a run that count as held by the tenant.
-	reservedMembers int
 }
 
 // newJob returns a queued job with all its occurrences, steps and tasks.
@@ -189,7 +189,7 @@
 // placeable reports whether t is neither done nor placed, and cannot still run on machines
 // that the former leader did not reach.
 func (t *task) placeable() bool {
-	return !t.done && t.run == nil && !t.mayHaveFormerRun()
+	return !t.done && t.run == nil && !lo.SomeBy(t.mayRunOn, func(m *machineState) bool { return m.mayHaveFormerRuns })
 }
 
 // objective returns when the callers want the occurrence of s completed.
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,6 +29,8 @@
 	Spec  *Job     `cbor:"1,keyasint,omitempty"`
 	State JobState `cbor:"2,keyasint,omitempty"`
 	Ended int64    `cbor:"3,keyasint,omitempty"` // Unix ms
+	// Holding is what the runs of an ended job still held, nil if it had none, or has no tenant.
+	Holding *formerHolding `cbor:"5,keyasint,omitempty"`
 }
 
 // machineRecord is the stored form of a machine.
@@ -92,7 +95,7 @@
 		}
 	}
 	for _, j := range changes.endedJobs {
-		if err := b.add(jobKey(j.spec.ID), jobRecord{State: j.state, Ended: wall.UnixMilli()}); err != nil {
+		if err := b.add(jobKey(j.spec.ID), jobRecord{State: j.state, Ended: wall.UnixMilli(), Holding: e.holdingAtEnd(j)}); err != nil {
 			return nil, false, err
 		}
 		b.dropProgress(j)
@@ -271,13 +274,13 @@
 			t, m := e.findTask(name), e.machines[rec.Machine.ID]
 			if t != nil && m != nil {
 				if len(t.mayRunOn) == 0 {
-					e.formerTasks = append(e.formerTasks, t)
+					e.former.tasks = append(e.former.tasks, t)
 				}
 				t.mayRunOn = append(t.mayRunOn, m)
 			}
 		}
 	}
-	e.runsResolved = false
+	e.former.jobs, e.runsResolved = slices.Clone(e.liveJobs), false
 	e.log.Info().Str("event", "state_restored").Int("records", len(records)).Int("live_jobs", len(e.liveJobs)).
 		Int("machines", len(e.machines)).Send()
 }
@@ -292,6 +295,9 @@
 	}
 	if rec.Spec == nil {
 		e.jobs[id] = &job{spec: Job{ID: id}, state: rec.State, stored: true, finalStored: true, begun: true}
+		if rec.Holding != nil {
+			e.former.ended = append(e.former.ended, *rec.Holding)
+		}
 		e.endedJobs = append(e.endedJobs, endedJob{id, now - clampSpan(spanOfMillis(wall.UnixMilli()-rec.Ended))})
 		return nil
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -80,16 +80,20 @@
 	e.expireLeases(now)
 	e.dropEndedJobs(now)
 	e.watchRuns(now)
-	e.refreshUsage()
+	e.refreshUsage(now)
 	e.refreshWaiting(now)
 	e.passes++
 	p := &pass{
 		e: e, number: e.passes, now: now, reservations: newReservations(), services: make(map[string]*servicePass),
 		adviceSearchesLeft: maxAdviceSearches,
 	}
+	e.stepsAtCap = 0
 	for _, s := range e.waitingSteps {
 		switch {
-		case s.occ.job.state.final() || now < s.noStartBefore:
+		case s.occ.job.state.final():
+		case e.anyCap && e.atCap(s):
+			p.waitForCap(s)
+		case now < s.noStartBefore:
 		case now < s.noSearchBefore:
 			p.keepReservations(s)
 		default:
@@ -240,10 +244,16 @@
 	candidates := p.candidates(s, expected)
 	var stale []*machineState
 	blocked, unplaced := false, 0
+	allowed := p.e.quotaAllows(s, len(s.tasks))
 	for _, t := range s.tasks {
 		if !t.placeable() {
 			continue
 		}
+		if allowed == 0 {
+			p.heldByCap(s)
+			break
+		}
+		allowed--
 		m := p.takeSlot(t, candidates)
 		if m == nil {
 			blocked = true
@@ -265,11 +275,15 @@
 	p.prepareAdviceRequest(s, stale, blocked)
 }
 
-// retryLater delays the next search for free capacity, and logs the reason every
-// waitLogInterval. An answer of the advisor, a failed advice request or the end of a run
-// of the step ends the delay.
+// retryLater delays the next search for free capacity, and logs the reason. An answer of the advisor,
+// a failed advice request or the end of a run of the step ends the delay.
 func (p *pass) retryLater(s *step, expected time.Duration, reason string) {
 	s.noSearchBefore = p.now + min(time.Duration(searchIntervalShare*float64(expected)), maxSearchInterval)
+	p.logWait(s, reason)
+}
+
+// logWait logs why a step waits, once every waitLogInterval.
+func (p *pass) logWait(s *step, reason string) {
 	if waited := p.now - s.occ.job.arrived; waited > waitLogInterval && p.now-s.waitLoggedAt > waitLogInterval {
 		s.waitLoggedAt = p.now
 		p.e.log.Info().Str("event", "step_waits").Str("step", s.name).Str("reason", reason).
--- a/sched/reservation.go
+++ b/sched/reservation.go
@@ -185,11 +185,15 @@
 }
 
 // keepReservations adds the slots that the last search of s has reserved to the
-// reservations of this pass.
+// reservations of this pass, and claims the room for them below the cap of the tenant.
 func (p *pass) keepReservations(s *step) {
+	if len(s.reservedSlots) > 0 {
+		s.reservedSlots = s.reservedSlots[:p.e.quotaAllows(s, len(s.reservedSlots))]
+	}
 	if len(s.reservedSlots) == 0 {
 		return
 	}
+	p.claimRoom(s, len(s.reservedSlots))
 	p.service(s.occ.job.queue.Service).reservingSteps++
 	for _, x := range s.reservedSlots {
 		p.reservations.byMachine[x.machine] = append(p.reservations.byMachine[x.machine],
--- a/sched/simulation_checks_test.go
+++ b/sched/simulation_checks_test.go
@@ -22,6 +22,7 @@
 			}
 		}
 	}
+	sim.checkCap(o, r)
 	if sim.acknowledgedDone[o.Task] {
 		sim.reportViolation("started after its end was acknowledged: %s run %d", o.Task, o.Run)
 	}
--- a/sched/simulation_leader_test.go
+++ b/sched/simulation_leader_test.go
@@ -35,6 +35,8 @@
 		return
 	}
 	orders := e.Plan(sim.now)
+	sim.checkAccount(e)
+	sim.requestAdvice(e)
 	for _, o := range orders.Starts {
 		sim.sendStart(e, o)
 	}
@@ -172,3 +174,24 @@
 		})
 	})
 }
+
+// requestAdvice sends the requests to the advisor that wait. It allows all machines, with tickets that may be too old when
+// the answer arrives, and fails at times.
+func (sim *simulation) requestAdvice(e *Engine) {
+	for sim.changes.advisor > 0 {
+		request, ok := e.NextAdviceRequest(time.Second, true, sim.now)
+		if !ok {
+			return
+		}
+		tickets := map[string]string{}
+		for _, id := range request.Machines {
+			tickets[id] = "t"
+		}
+		sent, validFor, answered := sim.now, sim.randomDuration(0, time.Second), !sim.chance(0.05)
+		sim.schedule(sim.randomDuration(request.Expected/2, 2*request.Expected), func() {
+			if sim.engine == e {
+				e.AdviceAnswered(request, tickets, validFor, answered, sent, sim.now)
+			}
+		})
+	}
+}
