--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -63,6 +63,7 @@
 	reach         machineReach
 	changes       openChanges
 	leaving       atomic.Bool // it hands over
+	shownTenants  []string    // tenants with gauges; only runPlanning uses it, and runLeadership after its end
 
 	planSignal  chan struct{}
 	flushSignal chan struct{}
@@ -114,6 +115,8 @@
 		d.settings.Metrics.Leading.Set(0)
 		d.settings.Metrics.LiveJobs.Set(0)
 		d.settings.Metrics.WaitingSteps.Set(0)
+		d.settings.Metrics.StepsAtCap.Set(0)
+		d.settings.Metrics.setTenantGauges(nil, l.shownTenants)
 		logger.Info().Str("event", "leading_ended").Send()
 	}()
 	group.Go(func() { l.runPlanning(ctx, &group) })
@@ -283,6 +286,8 @@
 	l.mu.Unlock()
 	l.daemon.settings.Metrics.LiveJobs.Set(float64(stats.LiveJobs))
 	l.daemon.settings.Metrics.WaitingSteps.Set(float64(stats.WaitingSteps))
+	l.daemon.settings.Metrics.StepsAtCap.Set(float64(stats.StepsAtCap))
+	l.shownTenants = l.daemon.settings.Metrics.setTenantGauges(stats.Tenants, l.shownTenants)
 	for _, o := range orders.Stops {
 		stops.add(ctx, order{key: orderKey{o.Machine.ID, o.Task, o.Run}, send: func() { l.sendStop(ctx, o) }})
 	}
--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -18,6 +18,9 @@
 	AdviceRequests    *prometheus.CounterVec   // by outcome
 	LiveJobs          prometheus.Gauge
 	WaitingSteps      prometheus.Gauge
+	StepsAtCap        prometheus.Gauge
+	TenantHeld        *prometheus.GaugeVec // by tenant and resource, as TenantCap
+	TenantCap         *prometheus.GaugeVec
 	Leading           prometheus.Gauge
 }
 
@@ -38,10 +41,15 @@
 		AppendSeconds:     histogram("sassafraslb_cell_log_append_seconds", "Time of an append of job state."),
 		LiveJobs:          gauge("sassafraslb_cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
 		WaitingSteps:      gauge("sassafraslb_cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
-		Leading:           gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
+		StepsAtCap:        gauge("sassafraslb_cell_steps_at_cap", "Steps that the cap of their tenant held up in the last planning pass; 0 unless this daemon leads."),
+		TenantHeld: gaugeVec("sassafraslb_cell_tenant_held", "What the tasks of a tenant with a cap hold on all machines; absent unless this daemon leads.",
+			"tenant", "resource"),
+		TenantCap: gaugeVec("sassafraslb_cell_tenant_cap", "What a tenant may hold; absent for a resource without a bound, and unless this daemon leads.",
+			"tenant", "resource"),
+		Leading: gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
 	}
 	m.Registry.MustRegister(m.Requests, m.Refusals, m.StartOrders, m.Retries, m.Appends, m.AdviceRequests, m.RequestSeconds, m.StartOrderSeconds,
-		m.AppendSeconds, m.LiveJobs, m.WaitingSteps, m.Leading)
+		m.AppendSeconds, m.LiveJobs, m.WaitingSteps, m.StepsAtCap, m.TenantHeld, m.TenantCap, m.Leading)
 	return m
 }
 
@@ -57,6 +65,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 }
 
+func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, labels)
+}
+
 func histogram(name, help string) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets})
 }
