--- a/sched/job.go
+++ b/sched/job.go
@@ -57,6 +57,7 @@
 	waitLoggedAt   time.Duration // when its wait was last logged
 	noSearchBefore time.Duration // no search for free capacity before; reset by an advisor's answer or the end of a run
 	reservedSlots  []slot        // reserved by the last search, all from the expected start on
+	heldRuns       int           // runs of its tasks
 }
 
 // task is one unit of work.
@@ -80,8 +81,10 @@
 type gangAttempt struct {
 	runNumber int64 // of the runs of all members; 0 if no attempt is active
 	startedAt time.Duration
-	aborting  bool          // the members are ending or being stopped
-	abortedAt time.Duration // when aborting began
+	aborting  bool // the members are ending or being stopped
+	// reservedMembers is the number of members without a run that count as held by the tenant.
+	reservedMembers int32
+	abortedAt       time.Duration // when aborting began
 	// placement has the machine of each member. It holds their capacity until
 	// placementUntil while tickets are requested, before the attempt starts.
 	placement      []*machineState
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,6 +32,8 @@
 	// Tenant is set only for an ended job; Spec holds that of others. Records of ended jobs that builds
 	// without tenants have stored lack it.
 	Tenant string `cbor:"4,keyasint,omitempty"`
+	// Holding is what the runs of an ended job still held, nil if it had none, or has no tenant.
+	Holding *formerHolding `cbor:"5,keyasint,omitempty"`
 }
 
 // machineRecord is the stored form of a machine.
@@ -95,7 +98,8 @@
 		}
 	}
 	for _, j := range changes.endedJobs {
-		if err := b.add(jobKey(j.spec.ID), jobRecord{State: j.state, Ended: wall.UnixMilli(), Tenant: j.spec.Tenant}); err != nil {
+		rec := jobRecord{State: j.state, Ended: wall.UnixMilli(), Tenant: j.spec.Tenant, Holding: e.holdingAtEnd(j)}
+		if err := b.add(jobKey(j.spec.ID), rec); err != nil {
 			return nil, false, err
 		}
 		b.dropProgress(j)
@@ -273,11 +277,14 @@
 		for _, name := range rec.Tasks {
 			t, m := e.findTask(name), e.machines[rec.Machine.ID]
 			if t != nil && m != nil {
+				if len(t.mayRunOn) == 0 {
+					e.former.tasks = append(e.former.tasks, t)
+				}
 				t.mayRunOn = append(t.mayRunOn, m)
 			}
 		}
 	}
-	e.runsResolved = false
+	e.former.jobs, e.runsResolved = slices.Clone(e.liveJobs), false
 	e.log.Info().Str("event", "state_restored").Int("records", len(records)).Int("live_jobs", len(e.liveJobs)).
 		Int("machines", len(e.machines)).Send()
 }
@@ -292,6 +299,9 @@
 	}
 	if rec.Spec == nil {
 		e.jobs[id] = &job{spec: Job{ID: id, Tenant: rec.Tenant}, state: rec.State, stored: true, finalStored: true, begun: true}
+		if rec.Holding != nil {
+			e.former.ended = append(e.former.ended, *rec.Holding)
+		}
 		e.endedJobs = append(e.endedJobs, endedJob{id, now - clampSpan(spanOfMillis(wall.UnixMilli()-rec.Ended))})
 		return nil
 	}
