Bound the connections and the heads at the ports for callers, readiness and metrics

Clients that opened many connections, or sent heads over the limit or without end, took all descriptors and the memory of the host. The cause: nothing bounded the connections; headerTimeoutMs, idleTimeoutMs and maxHeaderBytes of the configuration were not used, so that a head could have 1 MiB (and many times that as a map of short header lines) and 10 s; and a body that a handler does not read was waited for without end.

The new package internal/connlimit wraps the listeners. The numbers of connections follow from maxFds and memoryMb. At the limit the connection without progress for longest is closed, so that new callers are served while a crowd idles. Heads are counted while net/http reads them, against the limits of the configuration in force at that moment; fields of http.Server cannot change without a data race. Heads above 4 KiB reserve memory from a budget, with 128 bytes for each line. The kernel's buffers of a connection are 16 KiB, since received bytes count as memory of the host.

--- a/cell/interfaces.go
+++ b/cell/interfaces.go
@@ -120,8 +120,8 @@
 // HashKey returns the hash of a key.
 func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
 
-// Limits bounds the requests of callers. Package platform applies only MaxBodyBytes; 0 stands for its
-// default.
+// Limits bounds the requests of callers, and the connections of all clients but other daemons. 0 stands
+// for a default of package platform.
 type Limits struct {
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -16,9 +16,14 @@
 	Appends           *prometheus.CounterVec   // by outcome
 	AppendSeconds     prometheus.Histogram     // of job state
 	AdviceRequests    *prometheus.CounterVec   // by outcome
-	LiveJobs          prometheus.Gauge
-	WaitingSteps      prometheus.Gauge
-	Leading           prometheus.Gauge
+	// OpenConnections is by port, and DroppedConnections by port and reason. The ports are callers, readiness,
+	// metrics and daemons.
+	OpenConnections    *prometheus.GaugeVec
+	DroppedConnections *prometheus.CounterVec
+	RequestBytes       *prometheus.GaugeVec // memory of requests in flight, by who sent them
+	LiveJobs           prometheus.Gauge
+	WaitingSteps       prometheus.Gauge
+	Leading            prometheus.Gauge
 }
 
 // NewMetrics returns metrics that are registered with a registry of their own.
@@ -36,12 +41,18 @@
 		}, []string{"call"}),
 		StartOrderSeconds: histogram("sassafraslb_cell_start_order_seconds", "Time from a start order to its answer."),
 		AppendSeconds:     histogram("sassafraslb_cell_log_append_seconds", "Time of an append of job state."),
-		LiveJobs:          gauge("sassafraslb_cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
-		WaitingSteps:      gauge("sassafraslb_cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
-		Leading:           gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
+		OpenConnections: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "sassafraslb_cell_open_connections",
+			Help: "Open connections, by port."}, []string{"port"}),
+		DroppedConnections: counter("sassafraslb_cell_dropped_connections_total",
+			"Connections that were closed because of a limit, by port and reason.", "port", "reason"),
+		RequestBytes: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "sassafraslb_cell_request_bytes",
+			Help: "Memory that is reserved for heads, bodies and messages of requests in flight."}, []string{"requests"}),
+		LiveJobs:     gauge("sassafraslb_cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
+		WaitingSteps: gauge("sassafraslb_cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
+		Leading:      gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
 	}
 	m.Registry.MustRegister(m.Requests, m.Refusals, m.StartOrders, m.Retries, m.Appends, m.AdviceRequests, m.RequestSeconds, m.StartOrderSeconds,
-		m.AppendSeconds, m.LiveJobs, m.WaitingSteps, m.Leading)
+		m.AppendSeconds, m.OpenConnections, m.DroppedConnections, m.RequestBytes, m.LiveJobs, m.WaitingSteps, m.Leading)
 	return m
 }
 
