Bound the connections and messages at the port for calls between daemons

Clients at that port could take all descriptors, and memory by messages that never end: up to the 4 MiB of drpc on each connection. The cause: drpc bounds one message, but neither the connections nor what all messages take, and waits for the rest of a message without end.

The port now has a connlimit.Listener. A connection without a call is closed after 60 s, twice the time after which daemons close theirs.

--- a/cell/daemon.go
+++ b/cell/daemon.go
@@ -6,17 +6,20 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/connlimit"
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
@@ -37,8 +40,10 @@
 	// MemoryLimited means that the Go runtime has a soft memory limit, so that the leader may run
 	// the garbage collector less often.
 	MemoryLimited bool
-	Logger        zerolog.Logger
-	Metrics       *Metrics // default NewMetrics()
+	// ConnLimits bound the connections for calls between daemons.
+	ConnLimits connlimit.Options
+	Logger     zerolog.Logger
+	Metrics    *Metrics // default NewMetrics()
 }
 
 const (
@@ -57,6 +62,11 @@
 	// configReadWait is how long one read waits for a new configuration. A configuration has to be
 	// in force within 2.5 s, even if a read is lost on a silent link.
 	configReadWait = time.Second
+	// idleCallTimeout is after how long without a call a connection of another daemon is closed. Daemons close
+	// their idle connections after idleConnExpiration, so only other clients meet it.
+	idleCallTimeout = 2 * idleConnExpiration
+	// keptBufferBytes is the largest write buffer that a connection keeps between calls.
+	keptBufferBytes = 64 << 10
 )
 
 // Daemon is one daemon of the cell. It serves callers through Submit, State, Cancel and Pending.
@@ -101,7 +111,7 @@
 // returns. An error means that this daemon cannot serve the others, for example because the port for
 // calls between daemons is in use; Run then returns at once.
 func (d *Daemon) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", joinPort(d.settings.IP, d.settings.Port))
+	listener, err := connlimit.Listen(joinPort(d.settings.IP, d.settings.Port), d.settings.ConnLimits)
 	if err != nil {
 		return errors.Wrap(err, "listen for daemons")
 	}
@@ -109,9 +119,14 @@
 	if err := mux.Register(&unaryMethod{}, d.rpcMethods()); err != nil {
 		return errors.Wrap(err, "register calls")
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Log: func(err error) {
-		d.logger.Debug().Str("event", "daemon_connection_ended").Err(err).Send()
-	}})
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: drpcmanager.Options{
+			InactivityTimeout: idleCallTimeout,
+			Reader:            drpcwire.ReaderOptions{MaximumBufferSize: int(d.settings.ConnLimits.MaxMessage)},
+			Stream:            drpcstream.Options{MaximumBufferSize: keptBufferBytes},
+		},
+		Log: func(err error) { d.logger.Debug().Str("event", "daemon_connection_ended").Err(err).Send() },
+	})
 	var group sync.WaitGroup
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
--- a/cell/wire.go
+++ b/cell/wire.go
@@ -10,9 +10,11 @@
 	"github.com/go-faster/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcpool"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
+	"github.com/sassafraslb/sassafraslb/internal/connlimit"
 	"github.com/sassafraslb/sassafraslb/sched"
 )
 
@@ -121,6 +123,11 @@
 		if !ok {
 			return nil, errors.Errorf("unexpected message of type %T", in)
 		}
+		if transport, ok := drpcctx.Transport(ctx); ok {
+			if conn, ok := transport.(*connlimit.Conn); ok {
+				defer conn.ServeMessage()()
+			}
+		}
 		out, err := handle(ctx, c)
 		if out == nil {
 			out = &reply{}
@@ -143,6 +150,9 @@
 // time.
 const maxIdleConnections = 8
 
+// idleConnExpiration is after how long an idle connection is closed by the daemon that opened it.
+const idleConnExpiration = 30 * time.Second
+
 // connectTimeout bounds the setup of a connection to another daemon.
 const connectTimeout = 500 * time.Millisecond
 
@@ -153,7 +163,7 @@
 
 func newConnPool() *connPool {
 	return &connPool{drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
-		Expiration: 30 * time.Second, KeyCapacity: maxIdleConnections,
+		Expiration: idleConnExpiration, KeyCapacity: maxIdleConnections,
 	})}
 }
 
