Order callers' connections by progress alone, and do not report idle ones

A crowd that made one request on each of its connections and then idled kept them, since connections that had never completed a request were closed first: with several new callers at a time the newer one displaced the older one before it was served. That order now holds only at the port of daemons; of callers the one without progress for longest goes.

An idle connection that is closed after idleTimeoutMs was counted and logged as dropped, which would have logged a warning for ordinary callers. It no longer is; messages of daemons that take too long are counted now.

--- a/internal/connlimit/budget_test.go
+++ b/internal/connlimit/budget_test.go
@@ -93,6 +93,13 @@
 			t.Fatal("no room below the limit")
 		}
 	}
+	proven.lastProgress.Store(newer.lastProgress.Load() + 1)
+	if victim, _ := l.add(newTestConn(l, 0)); victim != older {
+		t.Error("of callers, another one than that without progress for longest was closed")
+	}
+	l.conns = map[*Conn]struct{}{serving: {}, proven: {}, older: {}, newer: {}}
+	proven.lastProgress.Store(0)
+	l.opts.Heads = nil // the port of daemons: connections that never completed a call go first
 	for i, want := range []*Conn{older, newer, proven} {
 		c := newTestConn(l, 0)
 		c.startServing()
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -63,10 +64,11 @@
 	return c
 }
 
-// goesBefore reports whether c is closed before other to make room: connections that have never completed a request go
-// first, then those without progress for longest.
+// goesBefore reports whether c is closed before other to make room: the one without progress for longest. Of daemons,
+// which speak no HTTP, connections that have never completed a call go first, so that strangers do not displace them.
+// Callers are strangers all alike: a new one would else go before idle connections of a crowd that has made one request.
 func (c *Conn) goesBefore(other *Conn) bool {
-	if p, q := c.proven.Load(), other.proven.Load(); p != q {
+	if p, q := c.proven.Load(), other.proven.Load(); p != q && c.listener.opts.Heads == nil {
 		return q
 	}
 	return c.lastProgress.Load() < other.lastProgress.Load()
@@ -159,10 +161,11 @@
 	switch {
 	case isHead:
 		c.countHead(p[:n])
-		if ne, ok := err.(net.Error); ok && ne.Timeout() && !c.isDropped.Swap(true) {
-			c.listener.dropped(DroppedTimeout)
+		if c.headBytes > 0 { // an idle connection that is closed is nothing to report
+			c.countTimeout(err)
 		}
 	case c.listener.opts.Heads == nil:
+		c.countTimeout(err)
 		if messageErr := c.checkMessage(); messageErr != nil {
 			return 0, messageErr
 		}
@@ -170,6 +173,13 @@
 	return n, err
 }
 
+// countTimeout counts a read that failed because of its deadline.
+func (c *Conn) countTimeout(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.isDropped.Load() {
+		c.CountTimeout()
+	}
+}
+
 // progress records n received bytes.
 func (c *Conn) progress(n int) {
 	if n == 0 {
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -16,7 +16,7 @@
 	DroppedMemory    = "no_memory"      // no memory for the head of a request, or for a message
 	DroppedHead      = "head_too_large" // the head of a request was over the limit of bytes
 	DroppedMessage   = "message_too_large"
-	DroppedTimeout   = "timeout" // a head, a body or a message took too long, or the connection was idle
+	DroppedTimeout   = "timeout" // a head, a body or a message took too long
 )
 
 // HeadLimits bounds the heads of HTTP requests.
