--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -18,12 +18,17 @@
 	Appends           *prometheus.CounterVec   // by outcome
 	AppendSeconds     prometheus.Histogram     // of job state
 	AdviceRequests    *prometheus.CounterVec   // by outcome
-	LiveJobs          prometheus.Gauge
-	WaitingSteps      prometheus.Gauge
-	StepsAtCap        prometheus.Gauge
-	TenantHeld        *prometheus.GaugeVec // by tenant and resource, as TenantCap
-	TenantCap         *prometheus.GaugeVec
-	Leading           prometheus.Gauge
+	// OpenConnections is by port, and DroppedConnections by port and reason. The ports are callers, readiness,
+	// metrics and daemons.
+	OpenConnections    *prometheus.GaugeVec
+	DroppedConnections *prometheus.CounterVec
+	RequestBytes       *prometheus.GaugeVec // memory of requests in flight, by who sent them
+	LiveJobs           prometheus.Gauge
+	WaitingSteps       prometheus.Gauge
+	StepsAtCap         prometheus.Gauge
+	TenantHeld         *prometheus.GaugeVec // by tenant and resource, as TenantCap
+	TenantCap          *prometheus.GaugeVec
+	Leading            prometheus.Gauge
 }
 
 // NewMetrics returns metrics that are registered with a registry of their own.
@@ -43,9 +48,14 @@
 		}, []string{"call"}),
 		StartOrderSeconds: histogram("sassafraslb_cell_start_order_seconds", "Time from a start order to its answer."),
 		AppendSeconds:     histogram("sassafraslb_cell_log_append_seconds", "Time of an append of job state."),
-		LiveJobs:          gauge("sassafraslb_cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
-		WaitingSteps:      gauge("sassafraslb_cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
-		StepsAtCap:        gauge("sassafraslb_cell_steps_at_cap", "Steps that the cap of their tenant held up in the last planning pass; 0 unless this daemon leads."),
+		OpenConnections:   gaugeVec("sassafraslb_cell_open_connections", "Open connections, by port.", "port"),
+		DroppedConnections: counter("sassafraslb_cell_dropped_connections_total",
+			"Connections that were closed because of a limit, by port and reason.", "port", "reason"),
+		RequestBytes: gaugeVec("sassafraslb_cell_request_bytes",
+			"Memory that is reserved for heads, bodies and messages of requests in flight.", "requests"),
+		LiveJobs:     gauge("sassafraslb_cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
+		WaitingSteps: gauge("sassafraslb_cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
+		StepsAtCap:   gauge("sassafraslb_cell_steps_at_cap", "Steps that the cap of their tenant held up in the last planning pass; 0 unless this daemon leads."),
 		TenantHeld: gaugeVec("sassafraslb_cell_tenant_held", "What the tasks of a tenant with a cap hold on all machines; absent unless this daemon leads.",
 			"tenant", "resource"),
 		TenantCap: gaugeVec("sassafraslb_cell_tenant_cap", "What a tenant may hold; absent for a resource without a bound, and unless this daemon leads.",
@@ -53,7 +63,7 @@
 		Leading: gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
 	}
 	m.Registry.MustRegister(m.Requests, m.Refusals, m.KeyRefusals, m.ConfigProofAge, m.StartOrders, m.Retries, m.Appends, m.AdviceRequests, m.RequestSeconds, m.StartOrderSeconds,
-		m.AppendSeconds, m.LiveJobs, m.WaitingSteps, m.StepsAtCap, m.TenantHeld, m.TenantCap, m.Leading)
+		m.AppendSeconds, m.OpenConnections, m.DroppedConnections, m.RequestBytes, m.LiveJobs, m.WaitingSteps, m.StepsAtCap, m.TenantHeld, m.TenantCap, m.Leading)
 	return m
 }
 
