Check a configuration before it is sent

Operators learned of a fault in a configuration only when callers were refused: a route that another one hides, a service that is not listed, a key that two tenants have, limits that contradict each other. The new command sassafraslb-cell check-config reports errors, entries without effect and what differs from the version in force, with exit codes for scripts. Only a configuration that lists services is checked for them; nothing changes in the daemon.

--- a/cell/interfaces.go
+++ b/cell/interfaces.go
@@ -95,6 +95,8 @@
 	Version int64
 	Routes  []Route
 	Limits  Limits
+	// Services are the names of the services that the configuration lists. Only package configcheck uses them.
+	Services []string
 	// Tenants is nil if the configuration has no list of tenants; callers then need no keys.
 	Tenants []Tenant
 }
--- a/cmd/sassafraslb-cell/main.go
+++ b/cmd/sassafraslb-cell/main.go
@@ -28,11 +28,20 @@
 	entry := app.Command("entry", "Serve callers until SIGTERM or SIGINT, then stop without cutting open requests.").Default()
 	metricsAddress := entry.Flag("metrics", "IP:port of the metrics. Metrics are not served if it is empty.").String()
 	check := app.Command("check", "Check the settings file and exit 1 if it has a fault.")
+	checkConfig := app.Command("check-config", "Check a configuration before it is sent. Exits 0 without findings, "+
+		"1 with errors, 2 with warnings only, 3 if a file cannot be read or decoded.")
+	var options configOptions
+	checkConfig.Arg("file", "Configuration to be sent, JSON.").Required().StringVar(&options.file)
+	checkConfig.Flag("against", "Configuration in force, JSON; the differences are shown.").StringVar(&options.against)
+	checkConfig.Flag("record-bytes", "Longest record that the log takes, in bytes.").Default("262144").Int64Var(&options.recordBytes)
+	checkConfig.Flag("json", "Print the findings and differences as JSON.").BoolVar(&options.json)
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case entry.FullCommand():
 		os.Exit(run(*metricsAddress))
 	case check.FullCommand():
 		os.Exit(checkSettings())
+	case checkConfig.FullCommand():
+		os.Exit(runCheckConfig(options, os.Stdout, os.Stderr))
 	}
 }
 
