Add loads with tenants, bursts and uneven machines to the load simulation

The loads are those of the deployments with 350 machines of 16 and 32 cores (docs/design/hard-load.md): three kinds of job, bursts of each, tenants that send 6.5 times their usual rate, machines that are slow or fail what they start, and callers that retry what is refused. TestPressureReport reports what callers get by kind, tenant, size and second, and the core-seconds thrown away.

--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -28,7 +28,8 @@
 	pendingAnswers  []pendingAnswer
 	jobCount        int
 	jobs            map[string]*loadJob
-	refused         int // jobs that Submit refused
+	refused         int       // jobs that Submit refused
+	pressure        *pressure // nil for loads without tenants, retries and stops
 }
 
 const (
@@ -53,6 +54,8 @@
 	burstFactor  float64    // multiplies rate between burstFrom and burstUntil; 0 for no burst
 	variation    *variation // nil for equal tasks whose run time is known
 	chainedShare float64    // share of the jobs with a second step like the first
+	gangShare    float64    // share of the jobs that are gangs, if gang is false
+	worth        float64    // of a job, relative to other kinds; only pressureReport uses it
 }
 
 // variation says how much the jobs of a kind differ.
@@ -89,6 +92,8 @@
 	completedAt time.Duration
 	runTime     time.Duration // of a task on an average machine
 	work        float64       // core-seconds
+	tenant      int           // index into pressure.tenants
+	beyondRate  bool          // sent beyond the rate of its tenant
 }
 
 // newLoadSimulation returns a simulation of equal machines, eight to a rack.
@@ -98,21 +103,28 @@
 		arrivalRNG: rand.New(rand.NewPCG(seed, 7)), runRNG: rand.New(rand.NewPCG(seed, 8)), kinds: kinds,
 		daemonFreeAt: make([]time.Duration, daemons), jobs: map[string]*loadJob{}, relativeRunTime: map[string]float64{},
 	}
-	l.engine = New(Config{Token: 256, Lease: 6 * time.Second, GangWait: 3 * time.Second, SpreadFactor: 3,
-		FinalStateRetention: time.Hour, Logger: zerolog.Nop()}, 0)
-	queues := make([]Queue, len(kinds))
-	for i := range kinds {
-		queues[i] = kinds[i].queue
-	}
-	l.engine.SetQueues(1, queues)
 	for i := range machines {
 		l.relativeRunTime[fmt.Sprintf("i-%04d", i)] = 1
 		l.machines = append(l.machines, Machine{ID: fmt.Sprintf("i-%04d", i), Born: 1, Service: "s",
 			Rack: fmt.Sprintf("r%d", i/8), Capacity: capacity})
 	}
+	l.newEngine(Config{}, nil)
+	return l
+}
+
+// newEngine replaces the engine by an empty one with the gates of cfg and these tenants.
+func (l *loadSimulation) newEngine(cfg Config, tenants []Tenant) {
+	cfg.Token, cfg.Lease, cfg.GangWait, cfg.SpreadFactor = 256, 6*time.Second, 3*time.Second, 3
+	cfg.FinalStateRetention, cfg.Logger = time.Hour, zerolog.Nop()
+	l.engine = New(cfg, 0)
+	l.engine.SetTenants(1, tenants)
+	queues := make([]Queue, len(l.kinds))
+	for i := range l.kinds {
+		queues[i] = l.kinds[i].queue
+	}
+	l.engine.SetQueues(1, queues)
 	l.engine.SetMachines(l.machines, 0)
 	l.flush()
-	return l
 }
 
 func (l *loadSimulation) wall() time.Time { return time.UnixMilli(1_700_000_000_000).Add(l.now) }
@@ -140,19 +152,26 @@
 		if l.now < arrivals {
 			l.submitArrivals(loadTick)
 		}
+		l.resubmit()
 		l.flush()
 		l.reportRuns()
 		l.flush()
 		l.deliverAnswers()
-		for _, o := range l.engine.Plan(l.now).Starts {
+		orders := l.engine.Plan(l.now)
+		for _, o := range orders.Starts {
 			l.start(o)
 		}
+		l.stopRuns(orders.Stops)
 		l.sendAdviceRequests()
 	}
 }
 
 // submitArrivals submits the jobs that arrive in a tick, at most one of each kind.
 func (l *loadSimulation) submitArrivals(tick time.Duration) {
+	if l.pressure != nil {
+		l.submitPressure(tick)
+		return
+	}
 	for i := range l.kinds {
 		k := &l.kinds[i]
 		rate := k.rate
@@ -162,33 +181,42 @@
 		if l.arrivalRNG.Float64() >= rate*tick.Seconds() {
 			continue
 		}
-		l.jobCount++
-		j := Job{ID: fmt.Sprintf("%016d", l.jobCount), Queue: k.queue.Name, Accepted: l.wall().UnixMilli()}
-		var step Step
-		var runTime time.Duration
-		if k.variation != nil {
-			step, runTime = l.randomStep(k)
-		} else {
-			count := 1 + int(l.arrivalRNG.ExpFloat64()*float64(k.count-1)+0.5)
-			runTime = time.Duration((0.6 + 0.8*l.arrivalRNG.Float64()) * float64(k.runTime))
-			step = Step{Count: min(count, 6*k.count), Estimate: runTime, Need: k.need, Gang: k.gang}
-		}
-		j.Steps = []Step{step}
-		if k.chainedShare > 0 && l.arrivalRNG.Float64() < k.chainedShare {
-			step.DependsOn = []int{0}
-			j.Steps = append(j.Steps, step)
-		}
-		chain := time.Duration(len(j.Steps)) * (runTime + k.queue.Advisor.CallDuration(30))
-		lj := &loadJob{kind: i, submittedAt: l.now, runTime: runTime,
-			objective: l.now + k.queue.Target + time.Duration(k.queue.Stretch*float64(chain)),
-			work:      float64(len(j.Steps)*step.Count) * runTime.Seconds() * float64(step.Need.CPUMilli) / 1000}
-		l.jobs[j.ID] = lj
-		if err := l.engine.Submit(j, l.now, l.wall(), func(error) {}); err != nil {
+		job, lj := l.drawJob(i)
+		l.jobs[job.ID] = lj
+		if err := l.engine.Submit(job, l.now, l.wall(), func(error) {}); err != nil {
 			l.refused++
 		}
 	}
 }
 
+// drawJob draws a job of a kind.
+func (l *loadSimulation) drawJob(kind int) (Job, *loadJob) {
+	k := &l.kinds[kind]
+	l.jobCount++
+	j := Job{ID: fmt.Sprintf("%016d", l.jobCount), Queue: k.queue.Name, Accepted: l.wall().UnixMilli()}
+	var step Step
+	var runTime time.Duration
+	if k.variation != nil {
+		step, runTime = l.randomStep(k)
+	} else {
+		count := 1 + int(l.arrivalRNG.ExpFloat64()*float64(k.count-1)+0.5)
+		runTime = time.Duration((0.6 + 0.8*l.arrivalRNG.Float64()) * float64(k.runTime))
+		step = Step{Count: min(count, 6*k.count), Estimate: runTime, Need: k.need, Gang: k.gang}
+	}
+	if k.gangShare > 0 {
+		step.Gang = l.arrivalRNG.Float64() < k.gangShare
+	}
+	j.Steps = []Step{step}
+	if k.chainedShare > 0 && l.arrivalRNG.Float64() < k.chainedShare {
+		step.DependsOn = []int{0}
+		j.Steps = append(j.Steps, step)
+	}
+	chain := time.Duration(len(j.Steps)) * (runTime + k.queue.Advisor.CallDuration(30))
+	return j, &loadJob{kind: kind, submittedAt: l.now, runTime: runTime,
+		objective: l.now + k.queue.Target + time.Duration(k.queue.Stretch*float64(chain)),
+		work:      float64(len(j.Steps)*step.Count) * runTime.Seconds() * float64(step.Need.CPUMilli) / 1000}
+}
+
 // lognormal draws a number from a log-normal distribution with this mean and this
 // standard deviation relative to the mean, at most five times the mean.
 func (l *loadSimulation) lognormal(mean, deviation float64) float64 {
@@ -224,12 +252,13 @@
 	if k.variation != nil {
 		difference := 1 + k.variation.taskDifference*(2*l.runRNG.Float64()-1)
 		r.endsAt = l.now + time.Duration(float64(j.runTime)*difference*l.relativeRunTime[o.Machine.ID])
-		if l.runRNG.Float64() < k.variation.failureShare && (!k.gang || t.index == 0) {
+		if l.runRNG.Float64() < k.variation.failureShare && (!t.step.spec.Gang || t.index == 0) {
 			r.endKind = EndFailed
 			r.endsAt = l.now + time.Duration(l.runRNG.Float64()*float64(r.endsAt-l.now))
 		}
 	}
-	if k.gang {
+	l.applyBadMachine(r)
+	if t.step.spec.Gang {
 		for _, other := range l.running {
 			if other.task.step != t.step || other.run != o.Run {
 				continue
@@ -254,6 +283,7 @@
 	unfinished := l.running[:0]
 	for _, r := range l.running {
 		if r.endsAt <= l.now {
+			l.countLost(r)
 			ended[r.machine] = append(ended[r.machine], EndReport{Task: r.task.name, Run: r.run, Kind: r.endKind})
 			continue
 		}
@@ -335,59 +365,3 @@
 	}
 	l.pendingAnswers = waiting
 }
-
-// servedShares returns two shares of the jobs of each kind: inTime were completed by their
-// objective, late were completed after it, but within three times the span from submission
-// to objective. oldest is the age of the oldest job that is not completed, 0 if there is
-// none.
-func (l *loadSimulation) servedShares() (inTime, late []float64, oldest time.Duration) {
-	n := make([]int, len(l.kinds))
-	inTime, late = make([]float64, len(l.kinds)), make([]float64, len(l.kinds))
-	for _, j := range l.jobs {
-		n[j.kind]++
-		span := j.objective - j.submittedAt
-		switch {
-		case j.completedAt == 0:
-			oldest = max(oldest, l.now-j.submittedAt)
-		case j.completedAt <= j.objective:
-			inTime[j.kind]++
-		case j.completedAt <= j.submittedAt+3*span:
-			late[j.kind]++
-		}
-	}
-	for i := range n {
-		inTime[i] /= float64(max(n[i], 1))
-		late[i] /= float64(max(n[i], 1))
-	}
-	return inTime, late, oldest
-}
-
-// credit returns, for each kind, the earned share of the total worth of its jobs. A job
-// that is completed by its objective earns its whole worth. A job that is completed later,
-// but within three times the span from submission to objective, earns a fifth of it. The
-// worth of a job rises with its work, up to four times the worth of a job of mean work.
-func (l *loadSimulation) credit() []float64 {
-	const late = 0.2
-	totalWorth, earned, totalWork, jobCount := make([]float64, len(l.kinds)), make([]float64, len(l.kinds)),
-		make([]float64, len(l.kinds)), make([]float64, len(l.kinds))
-	for _, j := range l.jobs {
-		totalWork[j.kind] += j.work
-		jobCount[j.kind]++
-	}
-	for _, j := range l.jobs {
-		worth := min(0.3+0.7*j.work*jobCount[j.kind]/totalWork[j.kind], 4)
-		totalWorth[j.kind] += worth
-		span := j.objective - j.submittedAt
-		switch {
-		case j.completedAt == 0:
-		case j.completedAt <= j.objective:
-			earned[j.kind] += worth
-		case j.completedAt <= j.submittedAt+3*span:
-			earned[j.kind] += late * worth
-		}
-	}
-	for i := range earned {
-		earned[i] /= max(totalWorth[i], 1)
-	}
-	return earned
-}
