Keep an account per tenant of what its tasks hold on all machines

Nothing knew how much of the cell a tenant uses at a time, so neither a cap nor a share could be applied. tenantState.held() now gives it. The account changes where a run or a placement of a gang is added to a machine or removed from it, so it covers a run from its order until its release, in whatever state it is. A gang whose attempt has begun is counted whole, so that the room for a member that is refused or lost stays its own. Tasks that may run on machines that did not answer a former leader are counted once per pass, and only while they have no known run. Unlike the capacity of a machine, the account counts the processors of fillers: they are used, only by nobody else.

--- a/sched/engine.go
+++ b/sched/engine.go
@@ -57,6 +57,7 @@
 	queues        map[string]*Queue
 	storedQueues  map[string]storedQueue  // by name
 	tenants       map[string]*tenantState // by name; the empty one for jobs without a tenant
+	formerTasks   []*task                 // tasks that may run on machines that did not answer a former leader
 	configVersion int64
 	machines      map[string]*machineState
 	byID          []*machineState // all machines, in the order of their ids
@@ -280,6 +281,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			e.releasePlacement(s)
+			s.updateGangReservation()
 			for _, t := range s.tasks {
 				if t.run != nil && !t.done {
 					e.stopRun(t.run, "job_ended", now)
@@ -301,6 +303,7 @@
 	}
 	t.done = true
 	s.doneTasks++
+	s.updateGangReservation()
 	e.progressChanged(t)
 	if s.doneTasks < len(s.tasks) {
 		return
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -90,6 +90,7 @@
 	for _, m := range placement {
 		m.used = m.used.Add(s.spec.demand())
 	}
+	s.hold(len(placement))
 }
 
 // releasePlacement frees the capacity that is held for the placement of a gang, if any.
@@ -97,6 +98,7 @@
 	for _, m := range s.attempt.placement {
 		m.used = m.used.Sub(s.spec.demand())
 	}
+	s.hold(-len(s.attempt.placement))
 	s.attempt.placement = nil
 }
 
@@ -210,6 +212,7 @@
 	if running == 0 {
 		s.attempt.runNumber, s.attempt.aborting = 0, false
 	}
+	s.updateGangReservation()
 }
 
 // slotsWhenEmpty returns how many tasks of s fit on m if it runs nothing else.
--- a/sched/job.go
+++ b/sched/job.go
@@ -50,6 +50,7 @@
 	doneTasks      int
 	advice         advice
 	attempt        gangAttempt
+	heldRuns       int           // runs of its tasks
 	chainTime      time.Duration // expected run time of the longest chain of dependent steps that begins here
 	urgency        urgency       // in the current pass
 	noStartBefore  time.Duration // set after a refused start or an aborted gang
@@ -86,6 +87,8 @@
 	// placementUntil while tickets are requested, before the attempt starts.
 	placement      []*machineState
 	placementUntil time.Duration
+	// reservedMembers is the number of members without a run that count as held by the tenant.
+	reservedMembers int
 }
 
 // newJob returns a queued job with all its occurrences, steps and tasks.
@@ -186,7 +189,7 @@
 // placeable reports whether t is neither done nor placed, and cannot still run on machines
 // that the former leader did not reach.
 func (t *task) placeable() bool {
-	return !t.done && t.run == nil && !lo.SomeBy(t.mayRunOn, func(m *machineState) bool { return m.mayHaveFormerRuns })
+	return !t.done && t.run == nil && !t.mayHaveFormerRun()
 }
 
 // objective returns when the callers want the occurrence of s completed.
--- a/sched/journal.go
+++ b/sched/journal.go
@@ -270,6 +270,9 @@
 		for _, name := range rec.Tasks {
 			t, m := e.findTask(name), e.machines[rec.Machine.ID]
 			if t != nil && m != nil {
+				if len(t.mayRunOn) == 0 {
+					e.formerTasks = append(e.formerTasks, t)
+				}
 				t.mayRunOn = append(t.mayRunOn, m)
 			}
 		}
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -101,6 +101,7 @@
 	m.runs[runKey{r.task.name, r.number}] = r
 	m.runsPerStep[r.task.step]++
 	m.countServingAndFiller(r.task.step.spec, 1)
+	r.task.step.countRun(1)
 }
 
 // countServingAndFiller adds n to servingRuns if s has a latency target, and to
@@ -122,6 +123,7 @@
 		delete(m.runsPerStep, r.task.step)
 	}
 	m.countServingAndFiller(r.task.step.spec, -1)
+	r.task.step.countRun(-1)
 }
 
 func (r *run) demand() machine.Resources { return r.task.step.spec.demand() }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -80,6 +80,7 @@
 	e.expireLeases(now)
 	e.dropEndedJobs(now)
 	e.watchRuns(now)
+	e.refreshUsage()
 	e.refreshWaiting(now)
 	e.passes++
 	p := &pass{
--- a/sched/poll.go
+++ b/sched/poll.go
@@ -158,6 +158,7 @@
 		unwanted = "other_attempt"
 	case gang && t.step.attempt.runNumber == 0:
 		t.step.attempt.runNumber, t.step.attempt.startedAt = report.Run, now
+		t.step.updateGangReservation()
 	}
 	e.log.Info().Str("event", "run_adopted").Str("machine", m.spec.ID).Str("task", report.Task).Int64("run", report.Run).
 		Str("unwanted", unwanted).Send()
--- a/sched/tenants.go
+++ b/sched/tenants.go
@@ -4,6 +4,7 @@
 type tenantState struct {
 	Tenant
 	configured bool // the configuration in force names it
+	usage      tenantUsage
 }
 
 // SetTenants replaces the weights and caps of the tenants by those of a configuration. It must be
