Let tenants beyond their rate wait while others need the capacity

Load: one or two of 20 tenants send 6.5 times their usual rate for 5.6 s. Cause: the order knew only tier, priority and objective, so each job of a hot tenant delayed those of all others of the same or a lower priority.

A token bucket per tenant (rate weight, depth one second) judges each job when it is accepted. Jobs beyond the rate wait behind the others of their tier, among each other by weighted dominant share. Those of priority 0 only wait behind others of priority 0: they take little capacity. Takes effect only if the configuration has tenants.

--- a/sched/engine.go
+++ b/sched/engine.go
@@ -52,18 +52,19 @@
 
 // Engine holds all jobs and machines of the cell.
 type Engine struct {
-	cfg           Config
-	log           zerolog.Logger
-	queues        map[string]*Queue
-	storedQueues  map[string]storedQueue  // by name
-	tenants       map[string]*tenantState // by name; the empty one for jobs without a tenant
-	formerTasks   []*task                 // tasks that may run on machines that did not answer a former leader
-	configVersion int64
-	machines      map[string]*machineState
-	byID          []*machineState // all machines, in the order of their ids
-	jobs          map[string]*job
-	liveJobs      []*job  // jobs that had not ended before the last pass, in the order of Submit or Restore
-	waitingSteps  []*step // steps with tasks to place in the last pass, the most urgent first
+	cfg               Config
+	log               zerolog.Logger
+	queues            map[string]*Queue
+	storedQueues      map[string]storedQueue  // by name
+	tenants           map[string]*tenantState // by name; the empty one for jobs without a tenant
+	formerTasks       []*task                 // tasks that may run on machines that did not answer a former leader
+	configVersion     int64
+	tenantsConfigured bool // the configuration in force names tenants
+	machines          map[string]*machineState
+	byID              []*machineState // all machines, in the order of their ids
+	jobs              map[string]*job
+	liveJobs          []*job  // jobs that had not ended before the last pass, in the order of Submit or Restore
+	waitingSteps      []*step // steps with tasks to place in the last pass, the most urgent first
 
 	journal       journal
 	orders        Orders        // for the next return of Plan
@@ -159,6 +160,7 @@
 	}
 	j := newJob(spec, q)
 	j.tenant = e.tenant(spec.Tenant)
+	j.beyondRate = e.takeRate(j.tenant, now)
 	j.newRecord = record
 	j.setTimes(now, wall, &e.estimator)
 	j.onStored = append(j.onStored, done)
--- a/sched/job.go
+++ b/sched/job.go
@@ -13,6 +13,7 @@
 	spec            Job
 	queue           *Queue
 	tenant          *tenantState // set by Submit and Restore
+	beyondRate      bool         // accepted beyond the rate of its tenant
 	occurrences     []*occurrence
 	doneOccurrences int
 	state           JobState
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -46,6 +46,8 @@
 	priority      int
 	remainingWork float64 // core-seconds that are left, for late steps; else 0
 	objective     time.Duration
+	// share is 0, or above 0 for a job beyond the rate of its tenant; see orderByShare.
+	share float64
 }
 
 // urgencyOf returns the urgency of s at now, by the expected run time of the chain that
@@ -69,7 +71,8 @@
 // compare returns a negative number if u is more urgent than o, and 0 if both are equally
 // urgent.
 func (u urgency) compare(o urgency) int {
-	return cmp.Or(cmp.Compare(u.tier, o.tier), cmp.Compare(u.priority, o.priority),
+	return cmp.Or(cmp.Compare(u.tier, o.tier), cmp.Compare(u.deferred(), o.deferred()), cmp.Compare(u.priority, o.priority),
+		cmp.Compare(u.share, o.share),
 		cmp.Compare(u.remainingWork, o.remainingWork), cmp.Compare(u.objective, o.objective))
 }
 
@@ -128,6 +131,7 @@
 		s.urgency = e.urgencyOf(s, now)
 	}
 	slices.SortStableFunc(e.waitingSteps, func(a, b *step) int { return a.urgency.compare(b.urgency) })
+	e.orderByShare()
 }
 
 // pass is the state of one call of Plan.
--- a/sched/tenants.go
+++ b/sched/tenants.go
@@ -5,6 +5,7 @@
 	Tenant
 	configured bool // the configuration in force names it
 	usage      tenantUsage
+	share      tenantShare
 }
 
 // SetTenants replaces the weights and caps of the tenants by those of a configuration. It must be
@@ -18,6 +19,7 @@
 	for _, t := range e.tenants {
 		t.configured = false
 	}
+	e.tenantsConfigured = len(tenants) > 0
 	for _, t := range tenants {
 		state := e.tenant(t.Name)
 		state.Tenant, state.configured = t, true
