Refuse jobs that could not end in time, and show what waits

Load: a backlog that exceeds what the machines can do. Cause: jobs were accepted up to 20,000, although many could only end when their result is of no use to anyone. Such a job is now refused at submission (503, overloaded, no_time_left or over_tenant_rate), unless its id is known. Retry-After follows from the expected time until there is room, which crosses daemons as a field of the reply, and is spread over callers. Metrics show refusals by reason, waiting steps by tier, and per tenant the share of its weight and its use.

Three times the objective is far, so that only long backlogs are answered.

--- a/cell/leadership.go
+++ b/cell/leadership.go
@@ -52,17 +52,18 @@
 	clock     Clock
 	startedAt time.Duration // before the job state is read
 
-	mu            sync.Mutex
-	engine        *sched.Engine
-	restored      chan struct{}                 // closed when the engine has the job state
-	recordsStored chan struct{}                 // closed and replaced when records have been stored
-	pollCancels   map[string]context.CancelFunc // stop the pollers, by machine id
-	peers         map[string]*peer              // by address
-	hostList      map[string]sched.Machine      // by machine id; only watchMachines uses it, without mu
-	adviceSenders map[string]*adviceSender      // by address, empty for this daemon
-	reach         machineReach
-	changes       openChanges
-	leaving       atomic.Bool // it hands over
+	mu             sync.Mutex
+	engine         *sched.Engine
+	restored       chan struct{}                 // closed when the engine has the job state
+	recordsStored  chan struct{}                 // closed and replaced when records have been stored
+	pollCancels    map[string]context.CancelFunc // stop the pollers, by machine id
+	peers          map[string]*peer              // by address
+	hostList       map[string]sched.Machine      // by machine id; only watchMachines uses it, without mu
+	adviceSenders  map[string]*adviceSender      // by address, empty for this daemon
+	reach          machineReach
+	changes        openChanges
+	leaving        atomic.Bool   // it hands over
+	tenantsShownAt time.Duration // when the gauges of tenants were last set
 
 	planSignal  chan struct{}
 	flushSignal chan struct{}
@@ -114,6 +115,7 @@
 		d.settings.Metrics.Leading.Set(0)
 		d.settings.Metrics.LiveJobs.Set(0)
 		d.settings.Metrics.WaitingSteps.Set(0)
+		d.settings.Metrics.clearLoad()
 		logger.Info().Str("event", "leading_ended").Send()
 	}()
 	group.Go(func() { l.runPlanning(ctx, &group) })
@@ -163,6 +165,7 @@
 	err := l.engine.Submit(*job, l.clock(), time.Now(), func(err error) { stored <- err })
 	l.mu.Unlock()
 	if err != nil {
+		l.daemon.settings.Metrics.countRefusal(err)
 		l.logger.Info().Str("event", "job_refused").Str("job", job.ID).Str("queue", job.Queue).Err(err).Send()
 		return err
 	}
@@ -280,9 +283,14 @@
 	adviceRequests := l.assignAdviceRequests(now)
 	l.refreshPeers(now)
 	stats := l.engine.Stats()
+	var tenants []sched.TenantShare
+	if now-l.tenantsShownAt >= tenantMetricsInterval {
+		tenants, l.tenantsShownAt = l.engine.TenantShares(), now
+	}
 	l.mu.Unlock()
 	l.daemon.settings.Metrics.LiveJobs.Set(float64(stats.LiveJobs))
 	l.daemon.settings.Metrics.WaitingSteps.Set(float64(stats.WaitingSteps))
+	l.daemon.settings.Metrics.showLoad(stats, tenants)
 	for _, o := range orders.Stops {
 		stops.add(ctx, order{key: orderKey{o.Machine.ID, o.Task, o.Run}, send: func() { l.sendStop(ctx, o) }})
 	}
--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -19,6 +19,10 @@
 	LiveJobs          prometheus.Gauge
 	WaitingSteps      prometheus.Gauge
 	Leading           prometheus.Gauge
+	AdmissionRefusals *prometheus.CounterVec // by reason
+	WaitingByTier     *prometheus.GaugeVec   // by tier
+	TenantWeightShare *prometheus.GaugeVec   // by tenant
+	TenantUse         *prometheus.GaugeVec   // by tenant
 }
 
 // NewMetrics returns metrics that are registered with a registry of their own.
@@ -39,7 +43,12 @@
 		LiveJobs:          gauge("sassafraslb_cell_live_jobs", "Accepted jobs that have not ended; 0 unless this daemon leads."),
 		WaitingSteps:      gauge("sassafraslb_cell_waiting_steps", "Steps with tasks that are not placed; 0 unless this daemon leads."),
 		Leading:           gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
+		AdmissionRefusals: counter("sassafraslb_cell_admission_refusals_total", "Jobs that admission control refused, by reason.", "reason"),
+		WaitingByTier:     gauges("sassafraslb_cell_waiting_steps_by_tier", "Steps that found no room in the last pass, by tier.", "tier"),
+		TenantWeightShare: gauges("sassafraslb_cell_tenant_weight_share", "Weight of a tenant as a share of all weights.", "tenant"),
+		TenantUse:         gauges("sassafraslb_cell_tenant_use", "Largest share of a resource of all machines that a tenant holds.", "tenant"),
 	}
+	m.Registry.MustRegister(m.AdmissionRefusals, m.WaitingByTier, m.TenantWeightShare, m.TenantUse)
 	m.Registry.MustRegister(m.Requests, m.Refusals, m.StartOrders, m.Retries, m.Appends, m.AdviceRequests, m.RequestSeconds, m.StartOrderSeconds,
 		m.AppendSeconds, m.LiveJobs, m.WaitingSteps, m.Leading)
 	return m
@@ -57,6 +66,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 }
 
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, labels)
+}
+
 func histogram(name, help string) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets})
 }
--- a/cell/patience.go
+++ b/cell/patience.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/errkind"
@@ -14,6 +15,9 @@
 	minRetrySeconds, maxRetrySeconds = 1, 3
 	// backlogFullRetrySeconds is the wait that callers are told while the backlog is full.
 	backlogFullRetrySeconds = 2
+	// maxOverloadRetrySeconds bounds the wait that callers are told in an overload. Bursts last up to
+	// 6 s, and callers give up after four retries.
+	maxOverloadRetrySeconds = 6
 	// objectiveDivisor gives the share of a job's time objective, one in so many, that a wait may
 	// take, so that several attempts fit into the objective and callers of short jobs retry first.
 	objectiveDivisor = 5
@@ -80,6 +84,8 @@
 func RetryAfter(err error, objective, outage, left time.Duration) int {
 	seconds := minRetrySeconds
 	switch reason := errkind.ReasonOf(err); {
+	case errkind.WaitOf(err) > 0:
+		seconds = overloadRetrySeconds(errkind.WaitOf(err))
 	case errkind.Of(err) == errkind.Overloaded:
 		seconds = backlogFullRetrySeconds
 	case reason == reasonTenureOver || reason == reasonLogLost:
@@ -88,6 +94,14 @@
 	return max(min(seconds, int((left-minAttemptTime)/time.Second)), minRetrySeconds)
 }
 
+// overloadRetrySeconds returns after how many seconds a caller should retry if there will probably be
+// room after wait. The waits of callers are spread evenly from that time to twice as long, at least
+// over minRetrySeconds and one second more, so that they do not all return at once.
+func overloadRetrySeconds(wait time.Duration) int {
+	least := min(max(int((wait+time.Second-1)/time.Second), minRetrySeconds), maxOverloadRetrySeconds)
+	return min(least+rand.IntN(least+1), maxOverloadRetrySeconds+1)
+}
+
 // LogOutage returns how long the log has not answered this daemon, 0 if the last call was answered or
 // none ever was.
 func (d *Daemon) LogOutage() time.Duration { return d.tenure.logOutage() }
--- a/cell/wire.go
+++ b/cell/wire.go
@@ -67,6 +67,7 @@
 	Valid   time.Duration     `cbor:"8,keyasint,omitempty"` // of the tickets
 	Page    *Page             `cbor:"9,keyasint,omitempty"`
 	Relays  []string          `cbor:"10,keyasint,omitempty"` // addresses of daemons that reach the log
+	Wait    time.Duration     `cbor:"11,keyasint,omitempty"` // with Kind: expected time until the request could be served
 }
 
 // err returns the error that the reply holds, or nil.
@@ -74,7 +75,9 @@
 	if r.Kind == "" {
 		return nil
 	}
-	return errkind.New(r.Kind, r.Reason, "%s", r.Detail)
+	err := errkind.New(r.Kind, r.Reason, "%s", r.Detail)
+	err.Wait = r.Wait
+	return err
 }
 
 // setError stores err, which may be nil, in the reply.
@@ -82,7 +85,7 @@
 	if err == nil {
 		return
 	}
-	r.Kind, r.Reason, r.Detail = errkind.Of(err), errkind.ReasonOf(err), err.Error()
+	r.Kind, r.Reason, r.Detail, r.Wait = errkind.Of(err), errkind.ReasonOf(err), err.Error(), errkind.WaitOf(err)
 	var e *errkind.Error
 	if errors.As(err, &e) {
 		r.Detail = e.Detail
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -96,6 +97,8 @@
 	Reason string // lower_snake_case, from a fixed set in the code that creates it
 	Detail string // free text for people
 	Err    error  // wrapped error; may be nil
+	// Wait is the expected time until the request could be served, 0 if not known.
+	Wait time.Duration
 }
 
 // New returns an Error of the kind with the reason and a formatted detail.
@@ -139,5 +142,15 @@
 	return "unclassified"
 }
 
+// WaitOf returns the expected time until the request could be served of the first Error in the chain
+// of err, 0 if it is not known.
+func WaitOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Wait
+	}
+	return 0
+}
+
 // ResponseOf returns the row of Table for the kind of err.
 func ResponseOf(err error) Response { return Table[Of(err)] }
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -32,7 +32,9 @@
 	// MaxRecordBytes bounds a record that Flush returns: the length of its key and its value,
 	// and 1 byte. 0 means no bound.
 	MaxRecordBytes int
-	// ShedLoad lets the engine answer overload. It also does so while the configuration names tenants.
+	// ShedLoad lets the engine answer overload: it learns how far declared run times can be trusted
+	// (runtimefit.go), and refuses jobs for which there will be no room in time (admission.go). It also
+	// does so while the configuration names tenants.
 	ShedLoad bool
 	Logger   zerolog.Logger
 }
@@ -78,6 +80,7 @@
 	passes        int64              // number of passes of Plan
 	endedJobs     []endedJob         // in the order in which their final states were restored or stored
 	stats         Stats
+	room          roomForecast
 }
 
 // Stats are counts since New, and the current numbers of live jobs, waiting steps and
@@ -88,6 +91,8 @@
 	Starts, Stops, AdviceRequests                  int64
 	Refusals                                       map[string]int64 // starts with another outcome than Started, by outcome
 	Ends                                           map[EndKind]int64
+	AdmissionRefusals                              map[string]int64 // jobs that admission control refused, by reason
+	WaitingByTier                                  [4]int           // steps that found no room in the last pass: persistent, on time, late, of no use
 	LiveJobs, WaitingSteps, Machines               int
 	Searches                                       int64 // for free capacity: one for each step that a pass tries to place
 }
@@ -109,6 +114,7 @@
 		allowedShare: make(map[string]float64),
 	}
 	e.stats.Refusals, e.stats.Ends = make(map[string]int64), make(map[EndKind]int64)
+	e.stats.AdmissionRefusals = make(map[string]int64)
 	e.journal.changedJobs = make(map[*job]bool)
 	return e
 }
@@ -124,10 +130,10 @@
 // Submit accepts a job. done is called when its record is stored, or with an error when the
 // log has refused the record; the job then never runs. An error of Submit means that
 // the job was not accepted and never runs; its kind is BadInput, NotReady (the queue is
-// not known), Overloaded (too many jobs) or Impossible (no machine is large enough). It
-// is BadInput also for a job whose record would exceed Config.MaxRecordBytes. A job whose
-// id is known is not accepted again; done is then called when the first one is stored, or
-// immediately if it is. wall is the wall clock time at now.
+// not known), Overloaded (too many jobs, or no room in time, see admit) or Impossible (no
+// machine is large enough). It is BadInput also for a job whose record would exceed
+// Config.MaxRecordBytes. A job whose id is known is not accepted again; done is then called
+// when the first one is stored, or immediately if it is. wall is the wall clock time at now.
 func (e *Engine) Submit(spec Job, now time.Duration, wall time.Time, done func(error)) error {
 	if j := e.jobs[spec.ID]; j != nil {
 		if j.stored {
@@ -162,9 +168,12 @@
 	}
 	j := newJob(spec, q)
 	j.tenant = e.tenant(spec.Tenant)
-	j.beyondRate = e.takeRate(j.tenant, now)
 	j.newRecord = record
 	j.setTimes(now, wall, &e.estimator)
+	if err := e.admit(j, now); err != nil {
+		return err
+	}
+	j.beyondRate = e.takeRate(j.tenant, now)
 	j.onStored = append(j.onStored, done)
 	e.jobs[spec.ID] = j
 	e.liveJobs = append(e.liveJobs, j)
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -55,6 +55,9 @@
 			p.place(s)
 		}
 	}
+	if e.shedsLoad() {
+		e.refreshRoom()
+	}
 	orders := e.orders
 	e.orders = Orders{}
 	e.stats.Starts += int64(len(orders.Starts))
--- a/sched/share.go
+++ b/sched/share.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sassafraslb/sassafraslb/machine"
@@ -64,10 +65,7 @@
 	if !e.sharesApply() {
 		return
 	}
-	var total machine.Resources
-	for _, m := range e.byID {
-		total = total.Add(m.spec.Capacity)
-	}
+	total := e.totalCapacity()
 	anyBeyond, pass := false, e.passes+1
 	for _, s := range e.waitingSteps {
 		j := s.occ.job
@@ -87,6 +85,40 @@
 	}
 }
 
+// TenantShare is the share of a tenant and what it uses.
+type TenantShare struct {
+	Name   string
+	Weight float64 // share of the weights of all tenants of the configuration
+	Use    float64 // largest share of a resource of all machines that its tasks hold
+}
+
+// TenantShares returns the shares of the tenants of the configuration in force, sorted by name.
+func (e *Engine) TenantShares() []TenantShare {
+	out := []TenantShare{} // not nil, so that a caller can tell it from no result
+	weights := 0.0
+	total := e.totalCapacity()
+	for _, t := range e.tenants {
+		if t.configured {
+			weights += t.Weight
+			out = append(out, TenantShare{t.Name, t.Weight, dominantShare(t.held(), total)})
+		}
+	}
+	for i := range out {
+		out[i].Weight /= max(weights, minWeight)
+	}
+	slices.SortFunc(out, func(a, b TenantShare) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// totalCapacity returns the capacity of all machines together.
+func (e *Engine) totalCapacity() machine.Resources {
+	var total machine.Resources
+	for _, m := range e.byID {
+		total = total.Add(m.spec.Capacity)
+	}
+	return total
+}
+
 // deferred returns 1 for steps that wait while others can use the capacity, else 0: those beyond the
 // rate of their tenant, unless they are of priority 0. Small urgent work takes little capacity, and
 // is not held up behind wide work; it comes after that of other tenants by its share alone. Work of a
