--- a/sched/admission.go
+++ b/sched/admission.go
@@ -128,9 +128,6 @@
 	}
 	end := now + wait + chain
 	excess := end - (j.arrived + uselessAfterFactor*span)
-	if beyond {
-		excess = end - j.objective
-	}
 	if excess <= 0 {
 		return nil
 	}
