--- a/sched/plan.go
+++ b/sched/plan.go
@@ -45,11 +45,7 @@
 		adviceSearchesLeft: maxAdviceSearches,
 	}
 	for _, s := range e.waitingSteps {
-		if s.urgency.tier == 0 && now < s.noSearchBefore {
-			p.blocked++
-		}
 		switch {
-		case p.blocked > 0 && e.shedsLoad() && (s.urgency.tier == 2 || s.urgency.tier == 1 && s.spec.Gang):
 		case s.occ.job.state.final() || now < s.noStartBefore:
 		case now < s.noSearchBefore:
 			p.keepReservations(s)
@@ -102,7 +98,6 @@
 	now                time.Duration
 	services           map[string]*servicePass
 	reservations       reservations
-	blocked            int // steps that can be on time and have found no room
 	adviceSearchesLeft int // further searches for machines to request advice about
 }
 
@@ -235,9 +230,6 @@
 // waitLogInterval. An answer of the advisor, a failed advice request or the end of a run
 // of the step ends the delay.
 func (p *pass) retryLater(s *step, expected time.Duration, reason string) {
-	if s.urgency.tier == 0 {
-		p.blocked++
-	}
 	s.noSearchBefore = p.now + min(time.Duration(searchIntervalShare*float64(expected)), maxSearchInterval)
 	if waited := p.now - s.occ.job.arrived; waited > waitLogInterval && p.now-s.waitLoggedAt > waitLogInterval {
 		s.waitLoggedAt = p.now
