--- a/sched/admission.go
+++ b/sched/admission.go
@@ -34,8 +34,8 @@
 	beyond  map[int]float64 // the same for work beyond the rates of tenants, which is not in waiting
 }
 
-// refreshRoom renews the forecast after a pass. It takes time for the machines and for the tasks of
-// the waiting steps once.
+// refreshRoom renews the forecast after a pass. It takes time for the machines and for the
+// waiting steps once, however many tasks these have.
 func (e *Engine) refreshRoom() {
 	e.room.services = make(map[string]*serviceRoom)
 	used := make(map[string]machine.Resources)
@@ -50,13 +50,8 @@
 	}
 	e.stats.WaitingByTier = [4]int{}
 	for _, s := range e.waitingSteps {
-		n := 0
-		for _, t := range s.tasks {
-			if t.placeable() {
-				n++
-			}
-		}
-		if n == 0 || s.occ.job.state.final() {
+		n := len(s.tasks) - s.doneTasks - s.heldRuns
+		if n <= 0 || s.occ.job.state.final() {
 			continue
 		}
 		e.stats.WaitingByTier[s.urgency.tier+1]++
