--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -29,6 +29,10 @@
 	TenantHeld         *prometheus.GaugeVec // by tenant and resource, as TenantCap
 	TenantCap          *prometheus.GaugeVec
 	Leading            prometheus.Gauge
+	AdmissionRefusals  *prometheus.CounterVec // by reason
+	WaitingByTier      *prometheus.GaugeVec   // by tier
+	TenantWeightShare  *prometheus.GaugeVec   // by tenant
+	TenantUse          *prometheus.GaugeVec   // by tenant
 }
 
 // NewMetrics returns metrics that are registered with a registry of their own.
@@ -60,10 +64,15 @@
 			"tenant", "resource"),
 		TenantCap: gaugeVec("sassafraslb_cell_tenant_cap", "What a tenant may hold; absent for a resource without a bound, and unless this daemon leads.",
 			"tenant", "resource"),
-		Leading: gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
+		Leading:           gauge("sassafraslb_cell_leading", "1 while this daemon leads the cell."),
+		AdmissionRefusals: counter("sassafraslb_cell_admission_refusals_total", "Jobs that admission control refused, by reason.", "reason"),
+		WaitingByTier:     gaugeVec("sassafraslb_cell_waiting_steps_by_tier", "Steps that found no room in the last pass, by tier.", "tier"),
+		TenantWeightShare: gaugeVec("sassafraslb_cell_tenant_weight_share", "Weight of a tenant as a share of all weights.", "tenant"),
+		TenantUse:         gaugeVec("sassafraslb_cell_tenant_use", "Largest share of a resource of all machines that a tenant holds.", "tenant"),
 	}
 	m.Registry.MustRegister(m.Requests, m.Refusals, m.KeyRefusals, m.ConfigProofAge, m.StartOrders, m.Retries, m.Appends, m.AdviceRequests, m.RequestSeconds, m.StartOrderSeconds,
-		m.AppendSeconds, m.OpenConnections, m.DroppedConnections, m.RequestBytes, m.LiveJobs, m.WaitingSteps, m.StepsAtCap, m.TenantHeld, m.TenantCap, m.Leading)
+		m.AppendSeconds, m.OpenConnections, m.DroppedConnections, m.RequestBytes, m.LiveJobs, m.WaitingSteps, m.StepsAtCap, m.TenantHeld, m.TenantCap, m.Leading,
+		m.AdmissionRefusals, m.WaitingByTier, m.TenantWeightShare, m.TenantUse)
 	return m
 }
 
--- a/sched/engine.go
+++ b/sched/engine.go
@@ -32,7 +32,11 @@
 	// MaxRecordBytes bounds a record that Flush returns: the length of its key and its value,
 	// and 1 byte. 0 means no bound.
 	MaxRecordBytes int
-	Logger         zerolog.Logger
+	// ShedLoad lets the engine answer overload: it learns how far declared run times can be trusted
+	// (runtimefit.go), and refuses jobs for which there will be no room in time (admission.go). It also
+	// does so while the configuration names tenants.
+	ShedLoad bool
+	Logger   zerolog.Logger
 }
 
 // TokensPerTerm is the number of fencing tokens of one term. The token of a machine
@@ -52,21 +56,22 @@
 
 // Engine holds all jobs and machines of the cell.
 type Engine struct {
-	cfg           Config
-	log           zerolog.Logger
-	queues        map[string]*Queue
-	storedQueues  map[string]storedQueue  // by name
-	tenants       map[string]*tenantState // by name; the empty one for jobs without a tenant
-	anyCap        bool                    // a tenant has a cap
-	former        formerUsage
-	formerCounted bool // a tenant may have usage that former leaders caused
-	stepsAtCap    int  // steps that waited for the cap of their tenant in the last pass
-	configVersion int64
-	machines      map[string]*machineState
-	byID          []*machineState // all machines, in the order of their ids
-	jobs          map[string]*job
-	liveJobs      []*job  // jobs that had not ended before the last pass, in the order of Submit or Restore
-	waitingSteps  []*step // steps with tasks to place in the last pass, the most urgent first
+	cfg               Config
+	log               zerolog.Logger
+	queues            map[string]*Queue
+	storedQueues      map[string]storedQueue  // by name
+	tenants           map[string]*tenantState // by name; the empty one for jobs without a tenant
+	anyCap            bool                    // a tenant has a cap
+	former            formerUsage
+	formerCounted     bool // a tenant may have usage that former leaders caused
+	stepsAtCap        int  // steps that waited for the cap of their tenant in the last pass
+	configVersion     int64
+	tenantsConfigured bool // the configuration in force names tenants
+	machines          map[string]*machineState
+	byID              []*machineState // all machines, in the order of their ids
+	jobs              map[string]*job
+	liveJobs          []*job  // jobs that had not ended before the last pass, in the order of Submit or Restore
+	waitingSteps      []*step // steps with tasks to place in the last pass, the most urgent first
 
 	journal       journal
 	orders        Orders        // for the next return of Plan
@@ -78,6 +83,7 @@
 	passes        int64              // number of passes of Plan
 	endedJobs     []endedJob         // in the order in which their final states were restored or stored
 	stats         Stats
+	room          roomForecast
 }
 
 // Stats are counts since New, and the current numbers of live jobs, waiting steps and
@@ -88,6 +94,8 @@
 	Starts, Stops, AdviceRequests                  int64
 	Refusals                                       map[string]int64 // starts with another outcome than Started, by outcome
 	Ends                                           map[EndKind]int64
+	AdmissionRefusals                              map[string]int64 // jobs that admission control refused, by reason
+	WaitingByTier                                  [4]int           // steps that found no room in the last pass: persistent, on time, late, of no use
 	LiveJobs, WaitingSteps, Machines               int
 	StepsAtCap                                     int           // waiting steps that the cap of their tenant held up in the last pass
 	Tenants                                        []TenantUsage // of the tenants with a cap
@@ -111,6 +119,7 @@
 		allowedShare: make(map[string]float64),
 	}
 	e.stats.Refusals, e.stats.Ends = make(map[string]int64), make(map[EndKind]int64)
+	e.stats.AdmissionRefusals = make(map[string]int64)
 	e.journal.changedJobs = make(map[*job]bool)
 	return e
 }
@@ -127,10 +136,10 @@
 // Submit accepts a job. done is called when its record is stored, or with an error when the
 // log has refused the record; the job then never runs. An error of Submit means that
 // the job was not accepted and never runs; its kind is BadInput, NotReady (the queue is
-// not known), Overloaded (too many jobs), Impossible (no machine is large enough) or
-// QuotaExceeded (a task or a gang needs more than the cap of its tenant). It
-// is BadInput also for a job whose record would exceed Config.MaxRecordBytes. A job whose
-// id is known is not accepted again; done is then called when the first one is stored, or
+// not known), Overloaded (too many jobs, or no room in time, see admit), Impossible (no
+// machine is large enough) or QuotaExceeded (a task or a gang needs more than the cap of its
+// tenant). It is BadInput also for a job whose record would exceed Config.MaxRecordBytes. A job
+// whose id is known is not accepted again; done is then called when the first one is stored, or
 // immediately if it is. wall is the wall clock time at now.
 func (e *Engine) Submit(spec Job, now time.Duration, wall time.Time, done func(error)) error {
 	if j := e.jobs[spec.ID]; j != nil {
@@ -171,6 +180,10 @@
 	j.tenant = e.tenant(spec.Tenant)
 	j.newRecord = record
 	j.setTimes(now, wall, &e.estimator)
+	if err := e.admit(j, now); err != nil {
+		return err
+	}
+	j.beyondRate = e.takeRate(j.tenant, now)
 	j.onStored = append(j.onStored, done)
 	e.jobs[spec.ID] = j
 	e.liveJobs = append(e.liveJobs, j)
--- a/sched/tenants.go
+++ b/sched/tenants.go
@@ -5,6 +5,7 @@
 	Tenant
 	configured bool // the configuration in force names it
 	usage      tenantUsage
+	share      tenantShare
 }
 
 // maxWeight bounds the weight of a tenant, so that sums and quotients of weights are finite. It is far
@@ -25,6 +26,7 @@
 	for _, t := range e.tenants {
 		t.configured = false
 	}
+	e.tenantsConfigured = len(tenants) > 0
 	for _, t := range tenants {
 		if t.Name == "" {
 			e.log.Warn().Str("event", "tenant_without_name").Int64("version", version).Send()
