Leave work behind the cap of its tenant out of the forecast of admission

Callers of other tenants would have been refused with no_time_left while machines were free: admission counted all steps that wait, also those that wait for the cap of their own tenant and take no machine before it rises. With 39 such jobs of 1 s it expected a wait of 19.5 s on an idle machine. TestWorkBehindACapIsNoBacklog failed before. The steps that the cap holds up are now left out of the sum and of the gauge of waiting steps.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -28,9 +28,11 @@
 // serviceRoom is the backlog of the machines of a service. Work is counted in seconds of all these
 // machines together, by the resource of which it takes the largest share.
 type serviceRoom struct {
-	total   machine.Resources
-	used    float64         // share of the bottleneck resource in use
-	waiting map[int]float64 // work that waits, by priority; without work that is of no use any more
+	total machine.Resources
+	used  float64 // share of the bottleneck resource in use
+	// waiting is work that waits, by priority; without work that is of no use any more or that the cap of its
+	// tenant holds up.
+	waiting map[int]float64
 	beyond  map[int]float64 // the same for work beyond the rates of tenants, which is not in waiting
 }
 
@@ -54,6 +56,9 @@
 		if n <= 0 || s.occ.job.state.final() {
 			continue
 		}
+		if e.anyCap && e.atCap(s) {
+			continue // it waits for the cap of its tenant, and takes no machine before the jobs of others
+		}
 		e.stats.WaitingByTier[s.urgency.tier+1]++
 		r := e.serviceRoom(s.occ.job.queue.Service)
 		work := r.work(s.spec, n, e.estimator.expected(s.occ.job.queue, s.spec))
--- a/sched/admission_test.go
+++ b/sched/admission_test.go
@@ -112,3 +112,26 @@
 		t.Errorf("%v jobs are left of the rate, want 1", tokens)
 	}
 }
+
+// TestWorkBehindACapIsNoBacklog guards against refusing the jobs of tenants for which there is room, because
+// another tenant at its cap has much work that waits: that work takes none of the machines before theirs.
+func TestWorkBehindACapIsNoBacklog(t *testing.T) {
+	f := admissionFixture(t, true, 0)
+	need := smallStep(1).Need
+	f.engine.SetTenants(f.engine.configVersion, []Tenant{{Name: "capped", Weight: 1000, Cap: need}, {Name: "other", Weight: 1000}})
+	for range 40 {
+		f.mustSubmitAs("capped", smallStep(1))
+	}
+	f.flush()
+	f.planAndConfirm()
+	f.planAndConfirm()
+	if held := f.engine.tenant("capped").held(); held != need {
+		t.Fatalf("the tenant holds %s, want its cap %s", held, need)
+	}
+	if err := f.trySubmit("x", "other"); err != nil {
+		t.Errorf("a job of another tenant is refused: %v", err)
+	}
+	if got := f.engine.Stats().WaitingByTier; got != [4]int{} {
+		t.Errorf("waiting steps by tier %v, want none that wait for the machines", got)
+	}
+}
--- a/sched/simulation_quota_test.go
+++ b/sched/simulation_quota_test.go
@@ -219,6 +219,20 @@
 	return false
 }
 
+// refusedByAdmission reports whether err refuses a job because of overload, which the engine does if the
+// configuration has tenants. The job must not be known; a later start of it ends the test, since its
+// description is dropped.
+func (sim *simulation) refusedByAdmission(j Job, err error) bool {
+	if reason := errkind.ReasonOf(err); reason != ReasonNoTimeLeft && reason != ReasonOverRate || len(sim.inForce.tenants) == 0 {
+		return false
+	}
+	if sim.engine.jobs[j.ID] != nil {
+		sim.reportViolation("job %s is refused and known: %v", j.ID, err)
+	}
+	delete(sim.jobSpecs, j.ID)
+	return true
+}
+
 // TestCapsHoldUnderFaults guards against starts above the cap of a tenant, accounts that drift from
 // what the machines run, and tenants that are held up although there is room, in random courses of
 // starts, refusals, losses, ends, cancellations, restarts, takeovers and changes of caps.
