Count members on silent machines when their gang's attempt ends within a pass

When completeGang aborted the attempt, other steps of the tenant could take the room in the rest of that pass. The end of an attempt now counts these members at once.

--- a/sched/quota.go
+++ b/sched/quota.go
@@ -56,9 +56,22 @@
 	if s.attemptActive() {
 		n = max(len(s.tasks)-s.heldRuns, 0)
 	}
-	if reserved := int(s.attempt.reservedMembers); n != reserved {
-		s.hold(n - reserved)
-		s.attempt.reservedMembers = int32(n)
+	reserved := int(s.attempt.reservedMembers)
+	if n == reserved {
+		return
+	}
+	s.hold(n - reserved)
+	s.attempt.reservedMembers = int32(n)
+	if s.attemptActive() {
+		return
+	}
+	// The attempt has ended in the middle of a pass: refreshUsage has left out its members that may
+	// run on silent machines.
+	for _, t := range s.tasks {
+		if t.run == nil && !t.done && t.mayHaveFormerRun() {
+			u := &s.occ.job.tenant.usage
+			u.former = u.former.Add(s.spec.Need)
+		}
 	}
 }
 
