--- a/cell/leadercalls.go
+++ b/cell/leadercalls.go
@@ -33,8 +33,9 @@
 
 // Submit sends a job of a caller to the leader and returns nil once it is stored. An error of kind
 // outcome_unknown means that the job may be stored; any other error means that it is not stored and
-// never runs. It is of kind conflict if the id is that of a job of another tenant. The deadline of ctx is taken for the end of the caller's time: a caller that cannot
-// return within it waits here, see patience.
+// never runs. It is of kind conflict if the id is that of a job of another tenant. The deadline of ctx
+// is taken for the end of the caller's time: a caller that cannot return within it waits here, see
+// patience.
 func (d *Daemon) Submit(ctx context.Context, who Caller, job *sched.Job) error {
 	job.Tenant = who.Tenant
 	_, err := d.callLeader(ctx, rpcSubmit, who.sign(&call{Job: job}), patience{maxWait: submitLeaderWait, holdLast: true})
