--- a/cell/patience.go
+++ b/cell/patience.go
@@ -15,8 +15,9 @@
 	minRetrySeconds, maxRetrySeconds = 1, 3
 	// backlogFullRetrySeconds is the wait that callers are told while the backlog is full.
 	backlogFullRetrySeconds = 2
-	// maxOverloadRetrySeconds bounds the wait that callers are told in an overload. Bursts last up to
-	// 6 s, and callers give up after four retries.
+	// maxOverloadRetrySeconds bounds the wait that callers are told in an overload, which is at most one
+	// second longer since the waits are spread. Bursts last up to 6 s, and callers give up after four
+	// retries.
 	maxOverloadRetrySeconds = 6
 	// objectiveDivisor gives the share of a job's time objective, one in so many, that a wait may
 	// take, so that several attempts fit into the objective and callers of short jobs retry first.
@@ -96,8 +97,8 @@
 }
 
 // overloadRetrySeconds returns after how many seconds a caller should retry if there will probably be
-// room after wait. The waits of callers are spread evenly from that time to twice as long, at least
-// over minRetrySeconds and one second more, so that they do not all return at once.
+// room after wait, from minRetrySeconds to maxOverloadRetrySeconds + 1. The waits are spread at random from
+// that time to twice as long, so that callers do not all return at once.
 func overloadRetrySeconds(wait time.Duration) int {
 	least := min(max(int((wait+time.Second-1)/time.Second), minRetrySeconds), maxOverloadRetrySeconds)
 	return min(least+rand.IntN(least+1), maxOverloadRetrySeconds+1)
--- a/sched/estimator.go
+++ b/sched/estimator.go
@@ -19,7 +19,7 @@
 // runTimeEstimator learns for each queue how real run times relate to declared ones.
 type runTimeEstimator struct {
 	ratioByQueue map[string]float64     // real / declared, by the name of the queue
-	fits         map[string]*runTimeFit // by the name of the queue
+	fits         map[string]*runTimeFit // by the name of the queue; empty unless the engine sheds load
 }
 
 func newRunTimeEstimator() runTimeEstimator {
