--- a/review/bed/cell.go
+++ b/review/bed/cell.go
@@ -44,7 +44,7 @@
 	policy atomic.Pointer[Policy]
 
 	folder  string
-	ip      string // of the daemons: a loopback address that other programs hardly use
+	network string // start of the loopback addresses of the daemons, each of which has one
 	advisor string
 	client  *http.Client
 }
@@ -69,8 +69,8 @@
 		return nil, err
 	}
 	c := &Cell{Record: record, Store: store, Executors: executors, Queues: queues, folder: folder,
-		ip:     fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)),
-		client: &http.Client{Timeout: 3500 * time.Millisecond}}
+		network: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250)),
+		client:  &http.Client{Timeout: 3500 * time.Millisecond}}
 	if policy != nil {
 		c.policy.Store(&policy)
 	}
@@ -168,32 +168,33 @@
 	return nil
 }
 
-// freeAddress returns an address of a loopback host on which nothing listens.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns n addresses of a loopback host on which nothing listens, all with different ports.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // not before all are found, so that none is found twice
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 // AddDaemons starts daemons and waits until all are ready.
 func (c *Cell) AddDaemons(n int) error {
 	for range n {
 		d := &Daemon{Name: fmt.Sprintf("front-bagmati-a-%d", len(c.Daemons)+1)}
-		var addresses [4]string
-		for i := range addresses {
-			address, err := freeAddress(c.ip)
-			if err != nil {
-				return err
-			}
-			addresses[i] = address
+		ip := fmt.Sprintf("%s.%d", c.network, len(c.Daemons)+1)
+		addresses, err := freeAddresses(ip, 4)
+		if err != nil {
+			return err
 		}
 		d.Front, d.Ready, d.metrics = addresses[0], addresses[1], addresses[3]
 		_, port, _ := net.SplitHostPort(addresses[2])
 		d.settings = filepath.Join(c.folder, d.Name+".yaml")
-		text := fmt.Sprintf(settings, d.Name, c.ip, d.Front, d.Ready, port, port, c.advisor, c.Store.Address)
+		text := fmt.Sprintf(settings, d.Name, ip, d.Front, d.Ready, port, port, c.advisor, c.Store.Address)
 		if err := os.WriteFile(d.settings, []byte(text), 0o644); err != nil {
 			return err
 		}
